--- a/src/bin/heronport-benchlink/main.rs
+++ b/src/bin/tulipbridge-adapter/main.rs
@@ -9,7 +9,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("heronport-benchlink: {why}");
+            eprintln!("tulipbridge-adapter: {why}");
             ExitCode::from(2)
         }
     }
--- a/src/bin/heronport-benchlink/wire.rs
+++ b/src/bin/tulipbridge-adapter/wire.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use heronport::*;
+use tulipbridge::*;
 use serde_json::{json, Value};
 
 type Res<T> = Result<T, String>;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,10 @@
-//! heronport decides, at one initiator, when, in what order and whether each storage request goes to its node,
+//! tulipbridge decides, at one initiator, when, in what order and whether each storage request goes to its node,
 //! and where a new object is put. It holds no clock, does no I/O and shares nothing with other initiators: feed
 //! it events, carry out its actions.
 //!
 //! ```
-//! use heronport::{Action, Class, Event, Group, Listed, NodeInfo, Plan, Request, Scheduler, Scope, Semantics};
-//! use heronport::Settings;
+//! use tulipbridge::{Action, Class, Event, Group, Listed, NodeInfo, Plan, Request, Scheduler, Scope, Semantics};
+//! use tulipbridge::Settings;
 //!
 //! let ms = 1_000_000;
 //! let settings = Settings {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,4 +1,4 @@
-//! Every decision of heronport. Its types, events and actions are in `src/interface.rs`.
+//! Every decision of tulipbridge. Its types, events and actions are in `src/interface.rs`.
 
 use crate::interface::*;
 use crate::state::{aged, smoothed, weighted, Bucket, Health, Live, Node, Rate, Scheduler, Sent, Volume};
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_heronport-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_tulipbridge-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/collapse.rs
+++ b/tests/collapse.rs
@@ -6,7 +6,7 @@
 use std::collections::VecDeque;
 
 use common::*;
-use heronport::*;
+use tulipbridge::*;
 
 const STEP: Nanos = 10 * MS;
 const INITIATORS: usize = 60;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use heronport::*;
+use tulipbridge::*;
 
 #[test]
 fn a_try_shorter_than_a_tick_is_answered_at_once() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use common::*;
-use heronport::*;
+use tulipbridge::*;
 
 const SLACK: Nanos = 8 * MS;
 
