--- a/src/bin/tulipbridge-adapter/main.rs
+++ b/src/bin/tulipbridge-adapter/main.rs
@@ -32,7 +32,7 @@
         if line.iter().all(u8::is_ascii_whitespace) {
             continue;
         }
-        let reply = link.batch(&line).map_err(|e| format!("line {number}: {e}"))?;
+        let reply = link.batch(&mut line).map_err(|e| format!("line {number}: {e}"))?;
         output
             .write_all(reply.as_bytes())
             .and_then(|()| output.flush())
--- a/src/bin/tulipbridge-adapter/wire.rs
+++ b/src/bin/tulipbridge-adapter/wire.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeMap, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+use simd_json::prelude::*;
+use simd_json::{json, OwnedValue as Value};
+use tulipbridge::settings::{int, list, names, opt_num, settings, text, Res};
 use tulipbridge::*;
-use serde_json::{json, Value};
-
-type Res<T> = Result<T, String>;
 
 /// All instances that this process hosts.
 #[derive(Default)]
@@ -35,8 +35,8 @@
 
 impl Link {
     /// Answers one batch.
-    pub fn batch(&mut self, line: &[u8]) -> Res<String> {
-        let value: Value = serde_json::from_slice(line).map_err(|e| format!("not JSON: {e}"))?;
+    pub fn batch(&mut self, line: &mut [u8]) -> Res<String> {
+        let value: Value = simd_json::to_owned_value(line).map_err(|e| format!("not JSON: {e}"))?;
         let batch = value.as_object().ok_or("a batch must be an object")?;
         let now = int(batch.get("Moment"), "Moment")?;
         let events = batch.get("events").and_then(Value::as_array).ok_or("'events' must be an array")?;
@@ -46,7 +46,7 @@
             let name = text(row.first(), "event name")?;
             self.event(now, name, row, &mut reply).map_err(|e| format!("{name}: {e}"))?;
         }
-        Ok(format!("{}\n", json!({ "do": reply })))
+        Ok(format!("{}\n", json!({ "do": reply }).encode()))
     }
 
     fn event(&mut self, now: Nanos, name: &str, row: &[Value], reply: &mut Vec<Value>) -> Res<()> {
@@ -122,7 +122,8 @@
         };
         let empty = Vec::new();
         let entries = match row.get(4) {
-            None | Some(Value::Null) => &empty,
+            None => &empty,
+            Some(v) if v.is_null() => &empty,
             Some(v) => v.as_array().ok_or("'MembersList' must be an array")?,
         };
         let nodes = entries.iter().map(|e| self.entry(e)).collect::<Res<Vec<_>>>()?;
@@ -251,84 +252,6 @@
     }
 }
 
-fn settings(boot: &Value) -> Res<Settings> {
-    let (family, limits, rules) = (&boot["FamilyInfo"], &boot["Limits"], &boot["Rules"]);
-    let writes = family.get("ChangesData").and_then(Value::as_array);
-    let mut classes = Vec::new();
-    for (i, service) in list(boot, "Services")?.iter().enumerate() {
-        let mut class = class(service)?;
-        class.writes = writes.and_then(|w| w.get(i)).and_then(Value::as_bool).unwrap_or(false);
-        classes.push(class);
-    }
-    let ratio = rules.get("FurtherRatio").filter(|v| !v.is_null());
-    let budget = match ratio {
-        None => None,
-        Some(r) => Some(Budget {
-            free: num(rules, "ExtraFree")?,
-            ratio: opt_num(Some(r), "FurtherRatio")?,
-            look_back: num(rules, "LookBack")? as Nanos,
-        }),
-    };
-    Ok(Settings {
-        initiators: num(boot, "Balancers")? as u32,
-        classes,
-        plans: list(boot, "Grades")?.iter().map(plan).collect::<Res<_>>()?,
-        quantum: num(boot, "Quantum")? as Nanos,
-        cold_units: num(family, "ColdUnits")?,
-        unit_mean: num(family, "UnitMean")?,
-        most_units: num(family, "MostUnits")?,
-        fair_worth: num(family, "FairWorth")?,
-        idle_worth: num(family, "IdleWorth")?,
-        use_period: num(family, "UsePeriod")? as Nanos,
-        most_tries: num(limits, "MostTries")? as u32,
-        second_copies: flag(limits, "SecondCopies")?,
-        max_retry_after: if flag(limits, "RetryAfter")? { num(limits, "MaxRetryAfter")? as Nanos } else { 0 },
-        list_on_request: boot.get("Discovery").and_then(Value::as_str) == Some("on_request"),
-        ask_every: num(rules, "AskEvery")? as Nanos,
-        cold: num(rules, "Cold")? as Nanos,
-        cold_from: num(rules, "ColdFrom")?,
-        tip_multiple: num(rules, "TipMultiple")?,
-        fall: num(rules, "Fall")? as Nanos,
-        order_settle: num(rules, "OrderSettle")? as Nanos,
-        budget,
-    })
-}
-
-fn class(service: &Value) -> Res<Class> {
-    Ok(Class {
-        aim: num(service, "Aim")? as Nanos,
-        aim_stretch: num(service, "AimStretch")?,
-        deadline: num(service, "Deadline")? as Nanos,
-        semantics: match text(service.get("Semantics"), "Semantics")? {
-            "idempotent" => Semantics::Idempotent,
-            "deduplicated" => Semantics::Deduplicated,
-            "at_most_once" => Semantics::AtMostOnce,
-            other => return Err(format!("'Semantics' {other} is not known")),
-        },
-        group: match service.get("Group").and_then(Value::as_str) {
-            Some("all") => Group::All,
-            Some("zone") => Group::Zone,
-            _ => Group::Cell,
-        },
-        window: num(service, "Window")? as Nanos,
-        keep_order: flag(service, "KeepOrder")?,
-        late_worth: num(service, "LateWorth")?,
-        points: num(service, "Points")?,
-        writes: false,
-    })
-}
-
-fn plan(grade: &Value) -> Res<Plan> {
-    Ok(Plan {
-        limit_rate: num(grade, "CeilingRate")?,
-        limit_burst: num(grade, "LimitBurst")?,
-        reserve_rate: num(grade, "FloorRate")?,
-        nominal: num(grade, "Nominal")?,
-        weight: num(grade, "Parts")?,
-        price: num(grade, "Pays")?,
-    })
-}
-
 /// A text as an opaque number, the same in every process.
 fn number(name: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
@@ -339,38 +262,3 @@
 fn place(names: &[String], name: &str, what: &str) -> Res<usize> {
     names.iter().position(|n| n == name).ok_or_else(|| format!("'{what}' {name} is not in the settings"))
 }
-
-fn list<'a>(of: &'a Value, key: &str) -> Res<&'a Vec<Value>> {
-    of.get(key).and_then(Value::as_array).ok_or_else(|| format!("'{key}' must be an array"))
-}
-
-fn names(boot: &Value, key: &str) -> Res<Vec<String>> {
-    list(boot, key)?.iter().map(|v| text(v.get("Name"), "Name").map(str::to_owned)).collect()
-}
-
-fn text<'a>(value: Option<&'a Value>, what: &str) -> Res<&'a str> {
-    value.and_then(Value::as_str).ok_or_else(|| format!("'{what}' must be a text"))
-}
-
-fn int(value: Option<&Value>, what: &str) -> Res<i64> {
-    value.and_then(Value::as_i64).ok_or_else(|| format!("'{what}' must be an integer"))
-}
-
-/// A number that may be absent or null, which is 0.
-fn opt_num(value: Option<&Value>, what: &str) -> Res<f64> {
-    match value {
-        None | Some(Value::Null) => Ok(0.0),
-        Some(v) => v.as_f64().ok_or_else(|| format!("'{what}' must be a number")),
-    }
-}
-
-fn num(of: &Value, key: &str) -> Res<f64> {
-    opt_num(of.get(key), key)
-}
-
-fn flag(of: &Value, key: &str) -> Res<bool> {
-    match of.get(key) {
-        None | Some(Value::Null) => Ok(false),
-        Some(v) => v.as_bool().ok_or_else(|| format!("'{key}' must be true or false")),
-    }
-}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,87 @@
+//! What a front is told at its start: environment and JSON.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use simd_json::prelude::*;
+use simd_json::OwnedValue as Value;
+
+use crate::interface::Settings;
+use crate::settings::{names, num, settings, text, Res};
+
+/// A front's configuration.
+pub struct Config {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// The node list as last held, in discovery's form.
+    pub known: Value,
+    /// The settings, for the module.
+    pub settings: Settings,
+    /// Names of the classes, in the settings' order.
+    pub classes: Vec<String>,
+    /// Names of the plans.
+    pub plans: Vec<String>,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// Longest time for a connection to come up.
+    pub dial_timeout: Duration,
+    /// When servers close an idle connection.
+    pub idle_close: Duration,
+}
+
+impl Config {
+    /// Reads the file that `BALANCER_CONFIG` names; other variables overrule what it says.
+    ///
+    /// # Errors
+    /// A plain sentence on what is missing or wrong.
+    pub fn from_env() -> Res<Config> {
+        let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set")?;
+        let mut bytes = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+        Config::read(&mut bytes, |name| std::env::var(name).ok()).map_err(|why| format!("{path}: {why}"))
+    }
+
+    /// Reads a configuration. `variable` gives the environment.
+    ///
+    /// # Errors
+    /// A plain sentence on what is missing or wrong.
+    pub fn read(json: &mut [u8], variable: impl Fn(&str) -> Option<String>) -> Res<Config> {
+        let value = simd_json::to_owned_value(json).map_err(|e| format!("not JSON: {e}"))?;
+        let address = |name: &str, key: &str| {
+            let told = match variable(name) {
+                Some(told) => told,
+                None => text(value.get(key), key)?.to_owned(),
+            };
+            told.parse().map_err(|_| format!("'{key}' {told} is no address"))
+        };
+        let boot = value.get("settings").filter(|s| s.is_object()).ok_or("'settings' must be an object")?;
+        let limits = boot.get("Limits").ok_or("'Limits' must be an object")?;
+        let time = |key: &str, usual: f64| {
+            let told = num(limits, key)?;
+            Ok::<_, String>(Duration::from_nanos(if told > 0.0 { told } else { usual } as u64))
+        };
+        let seed = text(value.get("seed"), "seed")?;
+        let own = value.get("limits").map_or(Ok(0.0), |l| num(l, "sockets"))?;
+        Ok(Config {
+            listen: address("BALANCER_LISTEN", "listen")?,
+            discovery: address("BALANCER_DISCOVERY", "discovery")?,
+            seed: u64::from_str_radix(seed, 16).map_err(|_| format!("'seed' {seed} is not in hex digits"))?,
+            sockets: if own > 0.0 { own as usize } else { 1024 },
+            known: value.get("known").cloned().ok_or("'known' is missing")?,
+            settings: settings(boot)?,
+            classes: names(boot, "Services")?,
+            plans: names(boot, "Grades")?,
+            zones: crate::settings::list(boot, "FailureDomains")?
+                .iter()
+                .map(|z| text(Some(z), "FailureDomains").map(str::to_owned))
+                .collect::<Res<_>>()?,
+            dial_timeout: time("DialTimeout", 250e6)?,
+            idle_close: time("IdleClose", 30e9)?,
+        })
+    }
+}
--- /dev/null
+++ b/src/discovery.rs
@@ -0,0 +1,137 @@
+//! Discovery: the node list, the watch on its changes, and asking anew when the watch ends.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Empty};
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use simd_json::prelude::*;
+use simd_json::OwnedValue as Value;
+use tokio::net::TcpStream;
+
+use crate::exchange::Exchange;
+use crate::interface::{CellId, Listed, NodeInfo, Scope};
+use crate::settings::{flag, int, list, text, Res};
+use crate::upstream::Upstream;
+
+/// A watch writes an empty line every 2 s while nothing changes. A machine that is cut off says nothing, and its
+/// connection stays open: silence for two such lines is the end of the watch.
+const SILENT: Duration = Duration::from_millis(4500);
+/// The longest line that is taken in; a list of a thousand servers fits many times over.
+const MOST_LINE: usize = 4 << 20;
+
+/// Where discovery is, and how far this front has followed it.
+pub struct Discovery {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Longest time for a connection to come up.
+    pub dial_timeout: Duration,
+    /// Names of the zones, in the order of the settings.
+    pub zones: Vec<String>,
+    /// The version of the list held.
+    pub generation: i64,
+}
+
+impl Discovery {
+    /// Passes on the list that this front held last, which may be old.
+    ///
+    /// # Errors
+    /// A plain sentence, where it is not in discovery's form.
+    pub fn restore(&mut self, known: &Value, exchange: &Rc<Exchange<Upstream>>) -> Res<()> {
+        let (_, nodes) = self.read(known, exchange.transport())?;
+        exchange.fleet(Scope::Restored, nodes);
+        Ok(())
+    }
+
+    /// Follows discovery for as long as the program runs. When to ask is the module's to say.
+    pub async fn follow(mut self, exchange: Rc<Exchange<Upstream>>) {
+        loop {
+            exchange.subscribe_wanted().await;
+            if let Err(why) = self.watch(&exchange).await {
+                eprintln!("discovery: {why}");
+            }
+            exchange.fleet(Scope::Unavailable, Vec::new());
+        }
+    }
+
+    async fn watch(&mut self, exchange: &Rc<Exchange<Upstream>>) -> Res<()> {
+        let dialled = tokio::time::timeout(self.dial_timeout, TcpStream::connect(self.address)).await;
+        let stream = dialled.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
+        let opened = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, connection) = opened.map_err(|e| e.to_string())?;
+        // The connection is driven in here, so that it closes with the watch.
+        let watch = async {
+            let target = format!("/registry/instances?watch=1&after={}", self.generation);
+            let request =
+                Request::get(target).header(HOST, self.address.to_string()).body(Empty::<Bytes>::new());
+            let sent = sender.send_request(request.map_err(|e| e.to_string())?);
+            let answer = tokio::time::timeout(SILENT, sent).await.map_err(|_| "no answer")?;
+            let answer = answer.map_err(|e| e.to_string())?;
+            if answer.status() != StatusCode::OK {
+                return Err(format!("it answered {}", answer.status()));
+            }
+            let mut body = answer.into_body();
+            let mut held = BytesMut::new();
+            loop {
+                let frame =
+                    tokio::time::timeout(SILENT, body.frame()).await.map_err(|_| "the watch is silent")?;
+                let frame = frame.ok_or("the watch has ended")?.map_err(|e| e.to_string())?;
+                held.extend_from_slice(frame.data_ref().map_or(&[][..], |d| d));
+                while let Some(end) = held.iter().position(|b| *b == b'\n') {
+                    let mut line = held.split_to(end + 1);
+                    self.line(&mut line, exchange);
+                }
+                if held.len() > MOST_LINE {
+                    return Err("a line without end".to_owned());
+                }
+            }
+        };
+        tokio::select! {
+            ended = watch => ended,
+            broken = connection => Err(broken.err().map_or("closed".to_owned(), |e| e.to_string())),
+        }
+    }
+
+    /// One line of the watch. A line that cannot be read is passed over, and said in the log.
+    fn line(&mut self, line: &mut [u8], exchange: &Rc<Exchange<Upstream>>) {
+        if line.iter().all(u8::is_ascii_whitespace) {
+            return;
+        }
+        let value = simd_json::to_owned_value(line).map_err(|e| e.to_string());
+        match value.and_then(|v| self.read(&v, exchange.transport())) {
+            Ok((scope, nodes)) => exchange.fleet(scope, nodes),
+            Err(why) => eprintln!("discovery: a line that cannot be read: {why}"),
+        }
+    }
+
+    fn read(&mut self, value: &Value, upstream: &Upstream) -> Res<(Scope, Vec<NodeInfo>)> {
+        let generation = int(value.get("generation"), "generation")?;
+        let scope = if flag(value, "reset")? { Scope::Replace } else { Scope::Update };
+        let entries = list(value, "instances")?;
+        let nodes = entries.iter().map(|e| self.entry(e, upstream)).collect::<Res<_>>()?;
+        self.generation = generation;
+        Ok((scope, nodes))
+    }
+
+    fn entry(&self, entry: &Value, upstream: &Upstream) -> Res<NodeInfo> {
+        let name = text(entry.get("instanceId"), "instanceId")?;
+        let address = text(entry.get("hostPort"), "hostPort")?;
+        let address = address.parse().map_err(|_| format!("'hostPort' {address} is no address"))?;
+        let zone = entry.get("zone").and_then(Value::as_str);
+        let zone = self.zones.iter().position(|z| Some(z.as_str()) == zone).unwrap_or(self.zones.len());
+        let listed = match text(entry.get("lifecycle"), "lifecycle")? {
+            "Ready" => Listed::Up,
+            "Gone" => Listed::Removed,
+            // Whatever else a server may be, it is not to be sent new work.
+            _ => Listed::Draining,
+        };
+        let cell = int(entry.get("cell"), "cell")?;
+        let cell = CellId::try_from(cell).map_err(|_| "'cell' is out of range")?;
+        let came_up = entry.get("startedAtMs").and_then(Value::as_i64).unwrap_or(0).saturating_mul(1_000_000);
+        Ok(NodeInfo { node: upstream.locate(name, address), zone: zone as u32, cell, listed, came_up })
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,9 +33,17 @@
 //! assert!(actions.contains(&Action::Place { id: 1, node: 0, patience: 0 }));
 //! ```
 
+pub mod cli;
+pub mod config;
+pub mod discovery;
+pub mod exchange;
+pub mod front;
 mod interface;
 mod policy;
+pub mod server;
+pub mod settings;
 mod state;
+pub mod upstream;
 
 pub use interface::*;
 pub use state::Scheduler;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,5 @@
-//! The front's program; it does not serve yet.
+//! The program; all of it is in the library.
 
-fn main() {
-    eprintln!("tulipbridge: this build does not serve yet");
-    std::process::exit(2);
+fn main() -> std::process::ExitCode {
+    tulipbridge::cli::main()
 }
--- /dev/null
+++ b/src/upstream.rs
@@ -0,0 +1,376 @@
+//! The chunk-server side: attempts over HTTP/1.1, a bounded pool of connections, and the table of outcomes.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+use crate::exchange::{Ended, Transport};
+use crate::interface::{NodeId, Outcome};
+
+/// The most bytes of a body, either way.
+pub const MOST_BODY: usize = 64 * 1024;
+const HOST_NAME: HeaderValue = HeaderValue::from_static("chunk.internal");
+const ID: HeaderName = HeaderName::from_static("x-txn");
+const REMAINING: HeaderName = HeaderName::from_static("x-remaining");
+const TURNED_AWAY: HeaderName = HeaderName::from_static("x-turned-away");
+const VOLUME_USE: HeaderName = HeaderName::from_static("x-volume-use");
+const SERVED_ELSEWHERE: HeaderName = HeaderName::from_static("x-served-elsewhere");
+
+/// What goes to a chunk server, as it came.
+pub struct Payload {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: Uri,
+    /// The request's id.
+    pub id: HeaderValue,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A chunk server's answer.
+#[derive(Debug)]
+pub struct Answer {
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Where chunk servers are and the connections to them.
+pub struct Upstream {
+    shared: Rc<Shared>,
+}
+
+struct Shared {
+    dial_timeout: Duration,
+    idle: Duration,
+    most: usize,
+    open: Cell<usize>,
+    nodes: RefCell<Nodes>,
+}
+
+#[derive(Default)]
+struct Nodes {
+    ids: HashMap<String, NodeId>,
+    list: Vec<Member>,
+}
+
+struct Member {
+    address: SocketAddr,
+    /// The latest used last.
+    idle: Vec<Conn>,
+}
+
+impl Upstream {
+    /// No chunk server is known yet. `idle_close` is when the servers close an idle connection; one written to
+    /// in that moment is lost, so connections go well before. `most` bounds all connections together.
+    pub fn new(dial_timeout: Duration, idle_close: Duration, most: usize) -> Upstream {
+        let idle = idle_close.mul_f64(0.8);
+        let (open, nodes) = (Cell::new(0), RefCell::default());
+        Upstream { shared: Rc::new(Shared { dial_timeout, idle, most, open, nodes }) }
+    }
+
+    /// The number of a chunk server, given at its first mention, and where it is from now on.
+    pub fn locate(&self, name: &str, address: SocketAddr) -> NodeId {
+        let mut nodes = self.shared.nodes.borrow_mut();
+        if let Some(&id) = nodes.ids.get(name) {
+            let member = &mut nodes.list[id];
+            if member.address != address {
+                member.address = address;
+                member.idle.clear();
+            }
+            return id;
+        }
+        let id = nodes.list.len();
+        nodes.ids.insert(name.to_owned(), id);
+        nodes.list.push(Member { address, idle: Vec::new() });
+        id
+    }
+
+    /// Closes connections that have stood idle for long.
+    pub fn sweep(&self) {
+        let idle = self.shared.idle;
+        for member in &mut self.shared.nodes.borrow_mut().list {
+            member.idle.retain(|c| !c.sender.is_closed() && c.since.elapsed() < idle);
+        }
+    }
+}
+
+impl Transport for Upstream {
+    type Payload = Payload;
+    type Answer = Answer;
+
+    fn attempt(
+        &self,
+        node: NodeId,
+        payload: Rc<Payload>,
+        until: Instant,
+    ) -> impl Future<Output = Ended<Answer>> + 'static {
+        let shared = Rc::clone(&self.shared);
+        async move { shared.attempt(node, &payload, until).await }
+    }
+}
+
+impl Shared {
+    async fn attempt(self: Rc<Self>, node: NodeId, payload: &Payload, until: Instant) -> Ended<Answer> {
+        // A pooled connection may prove closed before anything of the request is taken from us; that is no
+        // attempt, and the next connection gets it. One that broke in mid-request is never gone round.
+        while let Some(mut conn) = self.pooled(node) {
+            if conn.sender.ready().await.is_ok() {
+                match self.send(&mut conn, payload, until).await {
+                    Err(Broken::Untouched) => continue,
+                    Err(broken) => return broken.outcome().into(),
+                    Ok(answer) => return self.keep(node, conn, answer),
+                }
+            }
+        }
+        let mut conn = match self.dial(node).await {
+            Ok(conn) => conn,
+            Err(outcome) => return outcome.into(),
+        };
+        match self.send(&mut conn, payload, until).await {
+            Err(broken) => broken.outcome().into(),
+            Ok(answer) => self.keep(node, conn, answer),
+        }
+    }
+
+    fn pooled(&self, node: NodeId) -> Option<Conn> {
+        let mut nodes = self.nodes.borrow_mut();
+        let idle = &mut nodes.list.get_mut(node)?.idle;
+        while let Some(conn) = idle.pop() {
+            if !conn.sender.is_closed() && conn.since.elapsed() < self.idle {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, node: NodeId, mut conn: Conn, answer: Ended<Answer>) -> Ended<Answer> {
+        if let Some(member) = self.nodes.borrow_mut().list.get_mut(node) {
+            if member.address == conn.address && !conn.sender.is_closed() {
+                conn.since = Instant::now();
+                member.idle.push(conn);
+            }
+        }
+        answer
+    }
+
+    /// Frees a place in the table of connections, where it is full, at the cost of the longest idle one.
+    fn make_room(&self) -> bool {
+        if self.open.get() < self.most {
+            return true;
+        }
+        let mut nodes = self.nodes.borrow_mut();
+        let oldest = nodes.list.iter_mut().filter(|m| !m.idle.is_empty()).min_by_key(|m| m.idle[0].since);
+        oldest.map(|m| m.idle.remove(0)).is_some()
+    }
+
+    async fn dial(self: &Rc<Self>, node: NodeId) -> Result<Conn, Outcome> {
+        let address = self.nodes.borrow().list.get(node).map(|m| m.address).ok_or(Outcome::Skipped)?;
+        if !self.make_room() {
+            return Err(Outcome::Skipped);
+        }
+        let table = Place::take(self);
+        let dialled = tokio::time::timeout(self.dial_timeout, TcpStream::connect(address)).await;
+        let stream = dialled.map_err(|_| Outcome::Refused)?.map_err(|_| Outcome::Refused)?;
+        // Without it, a request in two writes would wait for an acknowledgement; failing costs only time.
+        let _ = stream.set_nodelay(true);
+        let written = Rc::new(Written::default());
+        let io = TokioIo::new(Watched { stream, written: Rc::clone(&written) });
+        let (sender, connection) = handshake(io).await.map_err(|_| Outcome::Refused)?;
+        let task = tokio::task::spawn_local(async move {
+            // How a connection ends shows in the attempt that it carries.
+            let _ = connection.await;
+        });
+        Ok(Conn { sender, task, written, address, since: Instant::now(), _place: table })
+    }
+
+    async fn send(
+        &self,
+        conn: &mut Conn,
+        payload: &Payload,
+        until: Instant,
+    ) -> Result<Ended<Answer>, Broken> {
+        let mut request = Request::new(Full::new(payload.body.clone()));
+        *request.method_mut() = payload.method.clone();
+        *request.uri_mut() = payload.target.clone();
+        let left = until.saturating_duration_since(Instant::now()).as_micros();
+        let headers = request.headers_mut();
+        headers.insert(HOST, HOST_NAME);
+        headers.insert(ID, payload.id.clone());
+        if let Ok(left) = HeaderValue::try_from(format!("{left}u")) {
+            headers.insert(REMAINING, left);
+        }
+        conn.written.expect(payload.body.len());
+        let answer = conn.sender.send_request(request).await;
+        let response = answer.map_err(|_| conn.written.broken())?;
+        let (outcome, seen_use, foreign_units) = read_head(&response);
+        let body = Limited::new(response.into_body(), MOST_BODY).collect().await;
+        let body = body.map_err(|_| Broken::MayHaveRun)?.to_bytes();
+        let answer = (outcome == Outcome::Done).then_some(Answer { body });
+        Ok(Ended { outcome, answer, seen_use, foreign_units })
+    }
+}
+
+/// The table of outcomes, for what came back.
+fn read_head<B>(response: &Response<B>) -> (Outcome, f64, f64) {
+    let headers = response.headers();
+    let turned_away = headers.get(TURNED_AWAY).is_some_and(|v| v == "1");
+    let outcome = match response.status() {
+        StatusCode::OK => Outcome::Done,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => Outcome::Busy,
+        _ => Outcome::Error,
+    };
+    let used = number(headers, &VOLUME_USE).map_or(0.0, |percent| percent + 1.0);
+    (outcome, used, number(headers, &SERVED_ELSEWHERE).unwrap_or(0.0))
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok().filter(|n: &f64| n.is_finite())
+}
+
+/// Why no answer came.
+enum Broken {
+    /// Nothing of the request was written.
+    Untouched,
+    /// Its last byte was not written: it never ran.
+    Partly,
+    /// Its last byte was written.
+    MayHaveRun,
+}
+
+impl Broken {
+    fn outcome(&self) -> Outcome {
+        match self {
+            Broken::Untouched | Broken::Partly => Outcome::Refused,
+            Broken::MayHaveRun => Outcome::Reset,
+        }
+    }
+}
+
+/// A connection; dropping it closes it, also in mid-request.
+struct Conn {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+    written: Rc<Written>,
+    address: SocketAddr,
+    since: Instant,
+    _place: Place,
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// A place in the table of open connections.
+struct Place(Rc<Shared>);
+
+impl Place {
+    fn take(shared: &Rc<Shared>) -> Place {
+        shared.open.set(shared.open.get() + 1);
+        Place(Rc::clone(shared))
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// How much of the present request the socket has taken. Whether a request may have run hangs on its last
+/// byte, and no error of a library tells that.
+#[derive(Default)]
+struct Written {
+    begun: Cell<bool>,
+    /// Bytes matched of the empty line that ends the head.
+    matched: Cell<usize>,
+    body_left: Cell<usize>,
+}
+
+const HEAD_END: &[u8; 4] = b"\r\n\r\n";
+
+impl Written {
+    fn expect(&self, body: usize) {
+        self.begun.set(false);
+        self.matched.set(0);
+        self.body_left.set(body);
+    }
+
+    fn wrote(&self, bytes: &[u8]) {
+        self.begun.set(self.begun.get() || !bytes.is_empty());
+        let mut matched = self.matched.get();
+        let mut head = 0;
+        while matched < HEAD_END.len() && head < bytes.len() {
+            let byte = bytes[head];
+            matched = if byte == HEAD_END[matched] { matched + 1 } else { usize::from(byte == b'\r') };
+            head += 1;
+        }
+        self.matched.set(matched);
+        self.body_left.set(self.body_left.get().saturating_sub(bytes.len() - head));
+    }
+
+    fn broken(&self) -> Broken {
+        if self.matched.get() == HEAD_END.len() && self.body_left.get() == 0 {
+            Broken::MayHaveRun
+        } else if self.begun.get() {
+            Broken::Partly
+        } else {
+            Broken::Untouched
+        }
+    }
+}
+
+/// A socket that keeps count of what it has taken.
+struct Watched {
+    stream: TcpStream,
+    written: Rc<Written>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let done = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(count)) = done {
+            self.written.wrote(&buf[..count]);
+        }
+        done
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
