Refuse a request that was never sent by half of its time

Ruled out: transport losses (no reset, no failed connect, none not taken, 0.15 ms from a node's answer to the client) and CPU (0.05 s in the busiest second). At fault: hopeless() in src/policy.rs let a request stand in its cell's queue until its client's time was all but over, long past every class's aim, and then refused it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -83,6 +83,9 @@
 /// First and longest gap between calls for a subscription.
 const ASK_FIRST: Nanos = 300 * MS;
 const ASK_MOST: Nanos = 3 * SECOND;
+/// A request that was never sent is held for this part of its time at the most: a refusal later than that
+/// leaves its client no time for anything else.
+const HOLD_PART: f64 = 0.5;
 /// Smoothing of how often clients leave early, and how often makes it the rule.
 const LEFT_ALPHA: f64 = 0.03;
 const LEFT_RATE: f64 = 0.1;
@@ -843,6 +846,12 @@
         if over || (live.tries > 0 && !self.may_repeat(live, None)) {
             return true;
         }
+        // Never sent by half of its time: past every aim, and its client could have been told to go elsewhere.
+        if live.tries == 0
+            && self.now >= live.since + (live.req.patience as f64 * HOLD_PART) as Nanos - self.margin()
+        {
+            return true;
+        }
         let Some(node) = live.cell.and_then(|c| self.holder(c)) else {
             return self.now > live.aim_at;
         };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -518,3 +518,24 @@
     let (few, many) = (trials(2), trials(400));
     assert!(few > 30 && many < 20, "{few} trials a minute of one in two, {many} of one in 400");
 }
+
+#[test]
+fn what_was_never_sent_is_refused_by_half_of_its_time() {
+    // The second waits for its key's turn, at a node that goes on answering others.
+    let mut rig = Rig::new(settings(), 1);
+    let mut done = Vec::new();
+    for id in [1, 2] {
+        let mut ordered = request(id, 3, Some(0));
+        ordered.key = Some(9);
+        done.extend(rig.ask(ordered));
+    }
+    assert_eq!(places(&done), vec![(1, 0)]);
+    for id in 10..19 {
+        rig.ask(request(id, 0, Some(0)));
+        rig.now += 10 * MS;
+        rig.end(id, 0, 0, Outcome::Done, 10 * MS);
+        let waiting = rig.pass(40 * MS);
+        assert!(!refused(&waiting, 2), "there is time yet");
+    }
+    assert!(refused(&rig.pass(50 * MS), 2), "a refusal after half of the time leaves the client none");
+}
