--- a/src/policy.rs
+++ b/src/policy.rs
@@ -846,10 +846,9 @@
         if over || (live.tries > 0 && !self.may_repeat(live, None)) {
             return true;
         }
-        // Never sent by half of its time: past every aim, and its client could have been told to go elsewhere.
-        if live.tries == 0
-            && self.now >= live.since + (live.req.patience as f64 * HOLD_PART) as Nanos - self.margin()
-        {
+        // Past every aim already, and its client could have been told to come back.
+        let half = live.since + (live.req.patience as f64 * HOLD_PART) as Nanos;
+        if live.tries == 0 && self.now >= half - self.margin() {
             return true;
         }
         let Some(node) = live.cell.and_then(|c| self.holder(c)) else {
