--- a/src/config.rs
+++ b/src/config.rs
@@ -13,8 +13,8 @@
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Where discovery is.
-    pub discovery: SocketAddr,
+    /// Where discovery is; without it the list as last held is all there is.
+    pub discovery: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -29,6 +29,8 @@
     pub plans: Vec<String>,
     /// Names of the zones.
     pub zones: Vec<String>,
+    /// How many shards there are, counted from 0.
+    pub shards: u32,
     /// Longest time for a connection to come up.
     pub dial_timeout: Duration,
     /// When servers close an idle connection.
@@ -60,6 +62,7 @@
             told.parse().map_err(|_| format!("'{key}' {told} is no address"))
         };
         let boot = value.get("settings").filter(|s| s.is_object()).ok_or("'settings' must be an object")?;
+        let family = boot.get("FamilyInfo").ok_or("'FamilyInfo' must be an object")?;
         let limits = boot.get("Limits").ok_or("'Limits' must be an object")?;
         let time = |key: &str, usual: f64| {
             let told = num(limits, key)?;
@@ -69,7 +72,10 @@
         let own = value.get("limits").map_or(Ok(0.0), |l| num(l, "sockets"))?;
         Ok(Config {
             listen: address("BALANCER_LISTEN", "listen")?,
-            discovery: address("BALANCER_DISCOVERY", "discovery")?,
+            discovery: match (variable("BALANCER_DISCOVERY"), value.get("discovery")) {
+                (None, None) => None,
+                _ => Some(address("BALANCER_DISCOVERY", "discovery")?),
+            },
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("'seed' {seed} is not in hex digits"))?,
             sockets: if own > 0.0 { own as usize } else { 1024 },
             known: value.get("known").cloned().ok_or("'known' is missing")?,
@@ -80,6 +86,7 @@
                 .iter()
                 .map(|z| text(Some(z), "FailureDomains").map(str::to_owned))
                 .collect::<Res<_>>()?,
+            shards: num(family, "Shards")? as u32,
             dial_timeout: time("DialTimeout", 250e6)?,
             idle_close: time("IdleClose", 30e9)?,
         })
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -24,10 +24,8 @@
 /// The longest line that is taken in; a list of a thousand servers fits many times over.
 const MOST_LINE: usize = 4 << 20;
 
-/// Where discovery is, and how far this front has followed it.
+/// How far this front has followed discovery.
 pub struct Discovery {
-    /// Its address.
-    pub address: SocketAddr,
     /// Longest time for a connection to come up.
     pub dial_timeout: Duration,
     /// Names of the zones, in the order of the settings.
@@ -48,26 +46,25 @@
     }
 
     /// Follows discovery for as long as the program runs. When to ask is the module's to say.
-    pub async fn follow(mut self, exchange: Rc<Exchange<Upstream>>) {
+    pub async fn follow(mut self, address: SocketAddr, exchange: Rc<Exchange<Upstream>>) {
         loop {
             exchange.subscribe_wanted().await;
-            if let Err(why) = self.watch(&exchange).await {
+            if let Err(why) = self.watch(address, &exchange).await {
                 eprintln!("discovery: {why}");
             }
             exchange.fleet(Scope::Unavailable, Vec::new());
         }
     }
 
-    async fn watch(&mut self, exchange: &Rc<Exchange<Upstream>>) -> Res<()> {
-        let dialled = tokio::time::timeout(self.dial_timeout, TcpStream::connect(self.address)).await;
+    async fn watch(&mut self, address: SocketAddr, exchange: &Rc<Exchange<Upstream>>) -> Res<()> {
+        let dialled = tokio::time::timeout(self.dial_timeout, TcpStream::connect(address)).await;
         let stream = dialled.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
         let opened = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
         let (mut sender, connection) = opened.map_err(|e| e.to_string())?;
         // The connection is driven in here, so that it closes with the watch.
         let watch = async {
             let target = format!("/registry/instances?watch=1&after={}", self.generation);
-            let request =
-                Request::get(target).header(HOST, self.address.to_string()).body(Empty::<Bytes>::new());
+            let request = Request::get(target).header(HOST, address.to_string()).body(Empty::<Bytes>::new());
             let sent = sender.send_request(request.map_err(|e| e.to_string())?);
             let answer = tokio::time::timeout(SILENT, sent).await.map_err(|_| "no answer")?;
             let answer = answer.map_err(|e| e.to_string())?;
@@ -132,6 +129,6 @@
         let cell = int(entry.get("cell"), "cell")?;
         let cell = CellId::try_from(cell).map_err(|_| "'cell' is out of range")?;
         let came_up = entry.get("startedAtMs").and_then(Value::as_i64).unwrap_or(0).saturating_mul(1_000_000);
-        Ok(NodeInfo { node: upstream.locate(name, address), zone: zone as u32, cell, listed, came_up })
+        Ok(NodeInfo { node: upstream.locate(name, address, cell), zone: zone as u32, cell, listed, came_up })
     }
 }
--- a/src/front.rs
+++ b/src/front.rs
@@ -1,5 +1,6 @@
 //! Puts a front together and runs it until it is told to stop.
 
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,7 +10,8 @@
 use crate::config::Config;
 use crate::discovery::Discovery;
 use crate::exchange::Exchange;
-use crate::server::{listen, Names, Server};
+use crate::listener::{listen, Listener};
+use crate::server::{Names, Server};
 use crate::settings::Res;
 use crate::upstream::Upstream;
 
@@ -18,27 +20,45 @@
 /// # Errors
 /// A plain sentence on a configuration that cannot hold.
 pub fn run(config: Config) -> Res<()> {
+    on_one_thread(front(config))
+}
+
+/// Runs a program's tasks on one thread.
+///
+/// # Errors
+/// Its own, or where the system gives no runtime.
+pub fn on_one_thread(program: impl Future<Output = Res<()>>) -> Res<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
-    LocalSet::new().block_on(&runtime, front(config))
+    LocalSet::new().block_on(&runtime, program)
 }
 
 async fn front(config: Config) -> Res<()> {
-    let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
-    let mut int = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
+    let listener = listen(config.listen).await?;
+    let (exchange, side) = assemble(&config)?;
+    let names = Names { classes: config.classes, plans: config.plans };
+    let stop = stop()?;
+    Listener::new(Server { exchange, names }, side).serve(listener, stop).await;
+    Ok(())
+}
+
+/// The parts behind a front: the exchange, its upstream and discovery. Gives also how many connections the
+/// client side may hold.
+///
+/// # Errors
+/// A plain sentence on a configuration that cannot hold.
+pub fn assemble(config: &Config) -> Res<(Rc<Exchange<Upstream>>, usize)> {
     // Of the descriptors, the sides share all but a reserve for discovery, the listener and the runtime.
     let side = config.sockets.saturating_sub(64).max(32) / 2;
     let upstream = Upstream::new(config.dial_timeout, config.idle_close, side);
-    let exchange = Exchange::new(config.settings, config.seed, upstream).map_err(|e| e.to_string())?;
-    let mut discovery = Discovery {
-        address: config.discovery,
-        dial_timeout: config.dial_timeout,
-        zones: config.zones,
-        generation: 0,
-    };
-    let listener = listen(config.listen).await?;
+    let exchange =
+        Exchange::new(config.settings.clone(), config.seed, upstream).map_err(|e| e.to_string())?;
+    let dial_timeout = config.dial_timeout;
+    let mut discovery = Discovery { dial_timeout, zones: config.zones.clone(), generation: 0 };
     discovery.restore(&config.known, &exchange).map_err(|why| format!("'known': {why}"))?;
-    spawn_local(discovery.follow(Rc::clone(&exchange)));
+    if let Some(address) = config.discovery {
+        spawn_local(discovery.follow(address, Rc::clone(&exchange)));
+    }
     let swept = Rc::clone(&exchange);
     spawn_local(async move {
         loop {
@@ -46,14 +66,20 @@
             swept.transport().sweep();
         }
     });
-    let names = Names { classes: config.classes, plans: config.plans };
-    let server = Server::new(exchange, names, side);
-    let stop = async move {
+    Ok((exchange, side))
+}
+
+/// Comes true at SIGTERM or SIGINT.
+///
+/// # Errors
+/// Where the system gives no signals.
+pub fn stop() -> Res<impl Future<Output = ()>> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+    let mut int = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
+    Ok(async move {
         tokio::select! {
             _ = term.recv() => {}
             _ = int.recv() => {}
         }
-    };
-    server.serve(listener, stop).await;
-    Ok(())
+    })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,8 @@
 pub mod exchange;
 pub mod front;
 mod interface;
+pub mod listener;
+pub mod object;
 mod policy;
 pub mod server;
 pub mod settings;
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -20,7 +20,7 @@
 use tokio::task::JoinHandle;
 
 use crate::exchange::{Ended, Transport};
-use crate::interface::{NodeId, Outcome};
+use crate::interface::{CellId, NodeId, Outcome};
 
 /// The most bytes of a body, either way.
 pub const MOST_BODY: usize = 64 * 1024;
@@ -39,13 +39,32 @@
     pub target: Uri,
     /// The request's id.
     pub id: HeaderValue,
+    /// Further headers.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// Which answers are the client's.
+    pub accepts: Accepts,
+}
+
+/// What a front takes for a chunk server's answer to its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Accepts {
+    /// 200 alone; all else is an error of the server's.
+    Served,
+    /// What the object API answers: any success, and any fault found with the request itself.
+    Object,
 }
 
 /// A chunk server's answer.
 #[derive(Debug)]
 pub struct Answer {
+    /// The shard of the server that gave it.
+    pub cell: CellId,
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
 }
@@ -71,6 +90,7 @@
 
 struct Member {
     address: SocketAddr,
+    cell: CellId,
     /// The latest used last.
     idle: Vec<Conn>,
 }
@@ -85,10 +105,11 @@
     }
 
     /// The number of a chunk server, given at its first mention, and where it is from now on.
-    pub fn locate(&self, name: &str, address: SocketAddr) -> NodeId {
+    pub fn locate(&self, name: &str, address: SocketAddr, cell: CellId) -> NodeId {
         let mut nodes = self.shared.nodes.borrow_mut();
         if let Some(&id) = nodes.ids.get(name) {
             let member = &mut nodes.list[id];
+            member.cell = cell;
             if member.address != address {
                 member.address = address;
                 member.idle.clear();
@@ -97,7 +118,7 @@
         }
         let id = nodes.list.len();
         nodes.ids.insert(name.to_owned(), id);
-        nodes.list.push(Member { address, idle: Vec::new() });
+        nodes.list.push(Member { address, cell, idle: Vec::new() });
         id
     }
 
@@ -180,7 +201,8 @@
     }
 
     async fn dial(self: &Rc<Self>, node: NodeId) -> Result<Conn, Outcome> {
-        let address = self.nodes.borrow().list.get(node).map(|m| m.address).ok_or(Outcome::Skipped)?;
+        let at = self.nodes.borrow().list.get(node).map(|m| (m.address, m.cell));
+        let (address, cell) = at.ok_or(Outcome::Skipped)?;
         if !self.make_room() {
             return Err(Outcome::Skipped);
         }
@@ -196,7 +218,7 @@
             // How a connection ends shows in the attempt that it carries.
             let _ = connection.await;
         });
-        Ok(Conn { sender, task, written, address, since: Instant::now(), _place: table })
+        Ok(Conn { sender, task, written, address, cell, since: Instant::now(), _place: table })
     }
 
     async fn send(
@@ -210,6 +232,7 @@
         *request.uri_mut() = payload.target.clone();
         let left = until.saturating_duration_since(Instant::now()).as_micros();
         let headers = request.headers_mut();
+        headers.clone_from(&payload.headers);
         headers.insert(HOST, HOST_NAME);
         headers.insert(ID, payload.id.clone());
         if let Ok(left) = HeaderValue::try_from(format!("{left}u")) {
@@ -218,21 +241,33 @@
         conn.written.expect(payload.body.len());
         let answer = conn.sender.send_request(request).await;
         let response = answer.map_err(|_| conn.written.broken())?;
-        let (outcome, seen_use, foreign_units) = read_head(&response);
-        let body = Limited::new(response.into_body(), MOST_BODY).collect().await;
+        let (outcome, seen_use, foreign_units) = read_head(&response, payload.accepts);
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MOST_BODY).collect().await;
         let body = body.map_err(|_| Broken::MayHaveRun)?.to_bytes();
-        let answer = (outcome == Outcome::Done).then_some(Answer { body });
+        let answer = (outcome == Outcome::Done).then_some(Answer {
+            cell: conn.cell,
+            status: head.status,
+            headers: head.headers,
+            body,
+        });
         Ok(Ended { outcome, answer, seen_use, foreign_units })
     }
 }
 
 /// The table of outcomes, for what came back.
-fn read_head<B>(response: &Response<B>) -> (Outcome, f64, f64) {
+fn read_head<B>(response: &Response<B>, accepts: Accepts) -> (Outcome, f64, f64) {
     let headers = response.headers();
     let turned_away = headers.get(TURNED_AWAY).is_some_and(|v| v == "1");
     let outcome = match response.status() {
         StatusCode::OK => Outcome::Done,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => Outcome::Busy,
+        status if accepts == Accepts::Object => match status.as_u16() {
+            // 408 and 429 are the server's trouble, not the request's.
+            408 | 429 => Outcome::Error,
+            200..=499 => Outcome::Done,
+            _ => Outcome::Error,
+        },
         _ => Outcome::Error,
     };
     let used = number(headers, &VOLUME_USE).map_or(0.0, |percent| percent + 1.0);
@@ -268,6 +303,7 @@
     task: JoinHandle<()>,
     written: Rc<Written>,
     address: SocketAddr,
+    cell: CellId,
     since: Instant,
     _place: Place,
 }
--- /dev/null
+++ b/tests/scenario/mod.rs
@@ -0,0 +1,408 @@
+//! A small language for what happens on the sockets of a front. The test plays every other party: clients
+//! `c1`, `c2` .., chunk servers `s0`, `s1` .. (by shard) and discovery `d`. A line is one step, taken in order:
+//!
+//! - `send c1 GET /path Name:value .. | body`: a request (`shard:0` and the like make X-IO; `raw` sends bytes)
+//! - `expect s0`: the next request at the server; `expect c1`: the next answer at the client
+//! - `send s0 200 Name:value .. | body`: answers the oldest request that the server holds (`part` breaks off)
+//! - `expect d`, `send d Ready 0`: a watch, and a change on it
+//! - `close c1`: closes a client, a server's oldest request, discovery's watch; `close front`: SIGTERM
+//! - `wait 50`: milliseconds; `wait front`: until it has ended
+//!
+//! What was seen is the transcript, kept as a snapshot.
+#![allow(dead_code)]
+
+use std::collections::{HashMap, VecDeque};
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// How long a step may take before the scenario has failed.
+const LONG: Duration = Duration::from_secs(10);
+const SETTINGS: &str = include_str!("settings.json");
+/// What of a message a transcript shows, besides its first line and its body.
+const SHOWN: [&str; 9] = [
+    "x-txn",
+    "range",
+    "if-match",
+    "retry-after",
+    "content-range",
+    "etag",
+    "x-amz-version-id",
+    "connection",
+    "x-amz-meta-tulipbridge-upload",
+];
+
+/// Which front the program runs.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Front {
+    Platform,
+    Object,
+}
+
+struct Server {
+    listener: TcpListener,
+    open: Vec<Wire>,
+    held: VecDeque<Wire>,
+}
+
+struct Wire {
+    stream: TcpStream,
+    bytes: Vec<u8>,
+}
+
+pub struct Message {
+    pub first: String,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+pub struct World {
+    front: Child,
+    kind: Front,
+    address: SocketAddr,
+    folder: PathBuf,
+    clients: HashMap<String, Wire>,
+    asked: HashMap<String, String>,
+    servers: Vec<Server>,
+    discovery: TcpListener,
+    watch: Option<Wire>,
+    generation: u32,
+    requests: u32,
+    /// What `$NAME` stands for in later lines.
+    kept: HashMap<String, String>,
+    pub seen: String,
+}
+
+/// Runs a scenario at a front with so many chunk servers.
+pub fn run(kind: Front, servers: usize, script: &str) -> String {
+    let mut world = World::new(kind, servers);
+    for line in script.lines().map(str::trim).filter(|l| !l.is_empty()) {
+        world.step(line);
+    }
+    std::mem::take(&mut world.seen)
+}
+
+impl World {
+    pub fn new(kind: Front, servers: usize) -> World {
+        let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let servers: Vec<Server> = (0..servers)
+            .map(|_| Server { listener: bind(), open: Vec::new(), held: VecDeque::new() })
+            .collect();
+        let discovery = bind();
+        let folder = std::env::temp_dir().join(format!(
+            "tulipbridge-{}-{}",
+            std::process::id(),
+            discovery.local_addr().expect("bound").port()
+        ));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let entries: Vec<String> = (0..servers.len()).map(|i| entry(&servers, i, "Ready")).collect();
+        let config = format!(
+            r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},
+            "known":{{"generation":1,"reset":true,"instances":[{}]}},"settings":{SETTINGS},
+            "buckets":{{"photos":{{"volume":"3b4d60021","plan":"basico","read":"form-read","write":"form-submit"}}}}}}"#,
+            discovery.local_addr().expect("bound"),
+            entries.join(","),
+        );
+        let config = config.replace("\"Shards\": 10", &format!("\"Shards\": {}", servers.len()));
+        let file = folder.join("config.json");
+        std::fs::write(&file, config).expect("written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tulipbridge"));
+        match kind {
+            Front::Platform => command.env("BALANCER_CONFIG", &file),
+            Front::Object => command.arg("object").arg(&file),
+        };
+        let mut front = command.stderr(Stdio::piped()).spawn().expect("the program starts");
+        let mut log = BufReader::new(front.stderr.take().expect("a pipe"));
+        let mut line = String::new();
+        log.read_line(&mut line).expect("it speaks");
+        let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
+        let address = address.unwrap_or_else(|| panic!("it listens: {line}"));
+        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        World {
+            front,
+            kind,
+            address,
+            folder,
+            clients: HashMap::new(),
+            asked: HashMap::new(),
+            servers,
+            discovery,
+            watch: None,
+            generation: 1,
+            requests: 0,
+            kept: HashMap::new(),
+            seen: String::new(),
+        }
+    }
+
+    pub fn step(&mut self, line: &str) {
+        let mut told = line.to_owned();
+        for (name, value) in &self.kept {
+            told = told.replace(&format!("${name}"), value);
+        }
+        let mut words = told.splitn(3, ' ');
+        let (verb, who) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
+        let rest = words.next().unwrap_or("").to_owned();
+        let server = who.strip_prefix('s').and_then(|n| n.parse::<usize>().ok());
+        match (verb, who, server) {
+            ("send", "d", _) => self.tell(&rest),
+            ("send", _, Some(at)) => self.answer(at, &rest),
+            ("send", _, None) => self.ask(who, &rest),
+            ("expect", "d", _) => {
+                let mut wire = accept(&self.discovery);
+                let watch = wire.message(false).expect("a watch");
+                let _ = writeln!(self.seen, "d < {}", watch.first);
+                wire.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                self.watch = Some(wire);
+            }
+            ("expect", _, Some(at)) => {
+                let asked = self.arrives(at);
+                self.keep(&format!("{who} < "), &asked);
+            }
+            ("expect", _, None) => {
+                let head = self.asked[who].starts_with("HEAD");
+                let wire = self.clients.get_mut(who).expect("a client");
+                match wire.message(head) {
+                    Ok(mut answer) if head => {
+                        let length = answer.headers.get("content-length").cloned().unwrap_or_default();
+                        answer.first.push_str(&format!(" of {length}"));
+                        self.keep(&format!("{who} < "), &answer);
+                    }
+                    Ok(answer) => self.keep(&format!("{who} < "), &answer),
+                    Err(_) => {
+                        let _ = writeln!(self.seen, "{who} < closed");
+                    }
+                }
+            }
+            ("close", "front", _) => {
+                let pid = self.front.id().to_string();
+                assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
+            }
+            ("close", "d", _) => self.watch = None,
+            ("close", _, Some(at)) => drop(self.servers[at].held.pop_front().expect("a request")),
+            ("close", _, None) => drop(self.clients.remove(who).expect("a client")),
+            ("wait", "front", _) => {
+                let code = self.front.wait().expect("it ends").code();
+                let _ = writeln!(self.seen, "front ended: {code:?}");
+            }
+            ("wait", time, _) => std::thread::sleep(Duration::from_millis(time.parse().expect("a time"))),
+            _ => panic!("no such step: {line}"),
+        }
+    }
+
+    /// A client's request; the platform's headers are added where the line does not give them.
+    fn ask(&mut self, who: &str, rest: &str) {
+        self.requests += 1;
+        let address = self.address;
+        let connect = || Wire::new(TcpStream::connect(address).expect("it takes connections"));
+        let wire = self.clients.entry(who.to_owned()).or_insert_with(connect);
+        self.asked.insert(who.to_owned(), rest.to_owned());
+        if let Some(raw) = rest.strip_prefix("raw ") {
+            wire.write(raw.replace("\\r", "\r").replace("\\n", "\n").as_bytes());
+            return;
+        }
+        let (line, body) = rest.split_once(" | ").unwrap_or((rest, ""));
+        let body = spelled(body);
+        let mut words = line.split(' ');
+        let (method, path) = (words.next().expect("a method"), words.next().expect("a path"));
+        let mut headers: Vec<(String, String)> = Vec::new();
+        if self.kind == Front::Platform {
+            let usual = [("X-Lane", "form-read"), ("X-Plan", "basico"), ("Cookie", "block=7f3a9c21e0b4d655")];
+            headers.extend(usual.map(|(n, v)| (n.to_owned(), v.to_owned())));
+            headers.push(("X-Txn".into(), format!("{:016x}", self.requests)));
+            headers.push(("X-Remaining".into(), "2000m".into()));
+            headers.push(("X-IO".into(), "volume=00000003b4d60021,units=2,shard=0,hosts=1".into()));
+        }
+        for (name, value) in words.filter_map(|w| w.split_once(':')) {
+            let (name, value) = match name {
+                "shard" => ("X-IO", format!("volume=00000003b4d60021,units=2,shard={value},hosts=1")),
+                _ => (name, value.replace('~', " ")),
+            };
+            headers.retain(|(n, _)| n != name);
+            headers.push((name.to_owned(), value));
+        }
+        let headers: String = headers.iter().map(|(n, v)| format!("{n}: {v}\r\n")).collect();
+        let length = body.len();
+        let head =
+            format!("{method} {path} HTTP/1.1\r\nHost: t\r\n{headers}Content-Length: {length}\r\n\r\n");
+        wire.write(&[head.as_bytes(), &body].concat());
+    }
+
+    /// Waits for a whole request at a server, on any of its connections.
+    fn arrives(&mut self, at: usize) -> Message {
+        let server = &mut self.servers[at];
+        server.listener.set_nonblocking(true).expect("settable");
+        let until = Instant::now() + LONG;
+        while Instant::now() < until {
+            if let Ok((stream, _)) = server.listener.accept() {
+                stream.set_nonblocking(false).expect("settable");
+                server.open.push(Wire::new(stream));
+            }
+            for i in 0..server.open.len() {
+                if server.open[i].has_more() {
+                    let mut wire = server.open.remove(i);
+                    if let Ok(message) = wire.message(false) {
+                        server.held.push_back(wire);
+                        return message;
+                    }
+                    break;
+                }
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        panic!("no request came to s{at}; so far:\n{}", self.seen);
+    }
+
+    fn answer(&mut self, at: usize, rest: &str) {
+        let (line, body) = rest.split_once(" | ").unwrap_or((rest, ""));
+        let body = spelled(body);
+        let mut words = line.split(' ').peekable();
+        let status = words.next().expect("a status");
+        let whole = words.next_if_eq(&"part").is_none();
+        let mut head = format!("HTTP/1.1 {status} Told\r\n");
+        let mut length = body.len();
+        for (name, value) in words.filter_map(|w| w.split_once(':')) {
+            match name {
+                "Content-Length" => length = value.parse().expect("a length"),
+                _ => {
+                    let _ = write!(head, "{name}: {}\r\n", value.replace('~', " "));
+                }
+            }
+        }
+        let _ = write!(head, "Content-Length: {}\r\n\r\n", if whole { length } else { length + 1 });
+        let server = &mut self.servers[at];
+        let mut wire = server.held.pop_front().expect("a request to answer");
+        wire.write(&[head.as_bytes(), &body].concat());
+        if whole {
+            server.open.push(wire);
+        }
+    }
+
+    fn tell(&mut self, rest: &str) {
+        let (state, at) = rest.split_once(' ').expect("a state and a server");
+        self.generation += 1;
+        let entry = entry(&self.servers, at.parse().expect("a server"), state);
+        let line =
+            format!("{{\"generation\":{},\"reset\":false,\"instances\":[{entry}]}}\n", self.generation);
+        let wire = self.watch.as_mut().expect("a watch");
+        wire.write(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes());
+    }
+
+    /// Notes a message. An upload id is kept as `$upload`; what differs from run to run is left out.
+    fn keep(&mut self, who: &str, message: &Message) {
+        let mut text = message.first.replace("HTTP/1.1 ", "");
+        for name in SHOWN {
+            if let Some(value) =
+                message.headers.get(name).filter(|_| self.kind == Front::Platform || name != "x-txn")
+            {
+                // How long to stay away follows what was measured.
+                let away = name == "retry-after" && value.parse().is_ok_and(|s: f64| s > 0.0);
+                let _ = write!(text, " {name}:{}", if away { "some" } else { value });
+            }
+        }
+        if let Some(token) = message.headers.get("x-amz-meta-tulipbridge-upload") {
+            self.kept.insert("token".to_owned(), token.clone());
+        }
+        let body = String::from_utf8_lossy(&message.body);
+        if let Some((_, rest)) = body.split_once("<UploadId>") {
+            let id = rest.split('<').next().unwrap_or_default();
+            self.kept.insert("upload".to_owned(), id.to_owned());
+        }
+        let body = match body.split_once("<RequestId>") {
+            Some((before, _)) => before.to_owned(),
+            None if body.len() > 400 => format!("{} bytes", body.len()),
+            None => body.into_owned(),
+        };
+        if !body.is_empty() {
+            let _ = write!(text, " | {}", body.replace('\n', " "));
+        }
+        if let Some(token) = self.kept.get("token") {
+            text = text.replace(token, "TOKEN");
+        }
+        let _ = writeln!(self.seen, "{who}{text}");
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = self.front.kill();
+        let _ = self.front.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Wire {
+    fn new(stream: TcpStream) -> Wire {
+        stream.set_read_timeout(Some(LONG)).expect("settable");
+        Wire { stream, bytes: Vec::new() }
+    }
+
+    /// A peer that has gone shows at the next `expect`.
+    fn write(&mut self, bytes: &[u8]) {
+        let _ = self.stream.write_all(bytes);
+    }
+
+    fn has_more(&mut self) -> bool {
+        self.stream.set_nonblocking(true).expect("settable");
+        let peeked = self.stream.peek(&mut [0]);
+        self.stream.set_nonblocking(false).expect("settable");
+        !matches!(peeked, Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// A whole message; the answer to a HEAD has no body.
+    pub fn message(&mut self, head: bool) -> std::io::Result<Message> {
+        let end = loop {
+            if let Some(end) = self.bytes.windows(4).position(|w| w == b"\r\n\r\n") {
+                break end + 4;
+            }
+            self.more()?;
+        };
+        let text = String::from_utf8_lossy(&self.bytes[..end]).into_owned();
+        let mut lines = text.lines();
+        let first = lines.next().unwrap_or_default().replace(" HTTP/1.1", "");
+        let fields = lines.filter_map(|l| l.split_once(':'));
+        let headers: HashMap<_, _> = fields.map(|(n, v)| (n.to_lowercase(), v.trim().to_owned())).collect();
+        let length = headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+        let length: usize = if head { 0 } else { length };
+        while self.bytes.len() < end + length {
+            self.more()?;
+        }
+        let body = self.bytes[end..end + length].to_vec();
+        self.bytes.drain(..end + length);
+        Ok(Message { first, headers, body })
+    }
+
+    fn more(&mut self) -> std::io::Result<()> {
+        let mut buffer = [0; 16384];
+        let count = self.stream.read(&mut buffer)?;
+        if count == 0 {
+            return Err(ErrorKind::UnexpectedEof.into());
+        }
+        self.bytes.extend_from_slice(&buffer[..count]);
+        Ok(())
+    }
+}
+
+fn accept(listener: &TcpListener) -> Wire {
+    listener.set_nonblocking(false).expect("settable");
+    Wire::new(listener.accept().expect("a connection").0)
+}
+
+/// A body as spelled in a script: `*N` is N bytes of `x`.
+fn spelled(body: &str) -> Vec<u8> {
+    match body.strip_prefix('*').and_then(|n| n.parse().ok()) {
+        Some(count) => vec![b'x'; count],
+        None => body.as_bytes().to_vec(),
+    }
+}
+
+fn entry(servers: &[Server], at: usize, state: &str) -> String {
+    let address = servers[at].listener.local_addr().expect("bound");
+    format!(
+        r#"{{"instanceId":"s-{at}","hostPort":"{address}","zone":"edificio-a","machineType":"standard-1c","cell":{at},"lifecycle":"{state}","weight":1.0,"startedAtMs":0}}"#
+    )
+}
