--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,12 +1,28 @@
 //! The command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
+use hyper::{Method, StatusCode};
+use simd_json::prelude::*;
+use simd_json::OwnedValue as Value;
+use tokio::time::{sleep, Instant};
 
+use crate::agent::Source;
 use crate::config::Config;
-use crate::{front, object};
+use crate::etcd::Prefix;
+use crate::front::on_one_thread;
+use crate::http::call;
+use crate::settings::{list, text, Res};
+use crate::{agent, front, object};
+
+/// How long an agent may take to answer, and a front to do as it is told.
+const ANSWER: Duration = Duration::from_secs(5);
+const DONE: Duration = Duration::from_secs(60);
+const LOOK: Duration = Duration::from_millis(100);
 
 /// Runs storage fronts. Without a command: one front of the platform, as BALANCER_CONFIG and its companions
 /// tell.
@@ -24,6 +40,58 @@
         /// Its configuration, such as deploy/object.json.
         file: PathBuf,
     },
+    /// Keeps many fronts as they are declared.
+    Agent {
+        #[command(flatten)]
+        source: Declared,
+        /// Prefix of the keys in etcd; what follows it is a front's name.
+        #[arg(long, default_value = "/tulipbridge/fronts/")]
+        prefix: String,
+        /// Where it answers the commands below.
+        #[arg(long, default_value = "127.0.0.1:7900")]
+        control: SocketAddr,
+    },
+    /// Shows the fronts that an agent keeps.
+    Status(Asked),
+    /// Stops a front once it has answered what it has taken, and keeps it stopped.
+    Drain {
+        /// Its name.
+        name: String,
+        #[command(flatten)]
+        asked: Asked,
+    },
+    /// Starts a drained front again.
+    Resume {
+        /// Its name.
+        name: String,
+        #[command(flatten)]
+        asked: Asked,
+    },
+    /// Restarts fronts, one after another, each once the one before is ready.
+    Restart {
+        /// Their names; none is all of them.
+        names: Vec<String>,
+        #[command(flatten)]
+        asked: Asked,
+    },
+}
+
+#[derive(Args)]
+#[group(required = true, multiple = false)]
+struct Declared {
+    /// A file that declares them.
+    #[arg(long)]
+    file: Option<PathBuf>,
+    /// The address of etcd's JSON gateway.
+    #[arg(long)]
+    etcd: Option<SocketAddr>,
+}
+
+#[derive(Args)]
+struct Asked {
+    /// The agent's address.
+    #[arg(long, default_value = "127.0.0.1:7900")]
+    agent: SocketAddr,
 }
 
 /// Runs the program. Bad usage and bad configuration end it with 2 and a plain message.
@@ -31,6 +99,15 @@
     let done = match Arguments::parse().command {
         None => Config::from_env().and_then(front::run),
         Some(Command::Object { file }) => object::run(&file),
+        Some(Command::Agent { source, prefix, control }) => match (source.file, source.etcd) {
+            (Some(file), _) => agent::run(Source::File(file), control),
+            (None, Some(address)) => agent::run(Source::Etcd(Prefix { address, prefix }), control),
+            (None, None) => Err("where the fronts are declared is missing".to_owned()),
+        },
+        Some(Command::Status(asked)) => on_one_thread(asked.print()),
+        Some(Command::Drain { name, asked }) => on_one_thread(asked.tell(&name, "drain", "drained")),
+        Some(Command::Resume { name, asked }) => on_one_thread(asked.tell(&name, "resume", "ready")),
+        Some(Command::Restart { names, asked }) => on_one_thread(asked.restart(names)),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -40,3 +117,71 @@
         }
     }
 }
+
+impl Asked {
+    async fn call(&self, method: Method, path: &str) -> Res<Vec<u8>> {
+        let answer = call(self.agent, method, path, String::new(), ANSWER, ANSWER).await;
+        let answer = answer.map_err(|why| format!("the agent at {}: {why}", self.agent))?;
+        let status = answer.status;
+        let body = answer.whole(ANSWER).await?;
+        match status {
+            StatusCode::OK | StatusCode::ACCEPTED => Ok(body),
+            _ => Err(format!("the agent at {}: {}", self.agent, String::from_utf8_lossy(&body))),
+        }
+    }
+
+    async fn fronts(&self) -> Res<Vec<Value>> {
+        let mut body = self.call(Method::GET, "/fronts").await?;
+        let value = simd_json::to_owned_value(&mut body).map_err(|e| format!("the agent's answer: {e}"))?;
+        list(&value, "fronts").map(|fronts| fronts.to_vec())
+    }
+
+    async fn print(&self) -> Res<()> {
+        println!("{:<24} {:<9} {:>8} {:>7} {:>8}", "NAME", "STATE", "PID", "STARTS", "CRASHES");
+        for front in self.fronts().await? {
+            let name = text(front.get("name"), "name")?;
+            let state = text(front.get("state"), "state")?;
+            let number =
+                |key: &str| front.get(key).and_then(Value::as_u64).map_or("-".to_owned(), |n| n.to_string());
+            let (pid, starts, crashes) = (number("pid"), number("starts"), number("crashes"));
+            println!("{name:<24} {state:<9} {pid:>8} {starts:>7} {crashes:>8}");
+        }
+        Ok(())
+    }
+
+    /// Tells the agent what to do with a front, and waits until it is done.
+    async fn tell(&self, name: &str, verb: &str, state: &str) -> Res<()> {
+        let find = |fronts: Vec<Value>| {
+            fronts.into_iter().find(|f| f.get("name").and_then(Value::as_str) == Some(name))
+        };
+        let starts = |front: &Value| front.get("starts").and_then(Value::as_u64);
+        let before = find(self.fronts().await?).ok_or_else(|| format!("no such front: {name}"))?;
+        self.call(Method::POST, &format!("/fronts/{name}/{verb}")).await?;
+        let began = Instant::now();
+        while began.elapsed() < DONE {
+            let front = find(self.fronts().await?).ok_or_else(|| format!("{name} is no longer declared"))?;
+            let again = verb != "restart" || starts(&front) != starts(&before);
+            if again && front.get("state").and_then(Value::as_str) == Some(state) {
+                println!("{name} is {state}");
+                return Ok(());
+            }
+            sleep(LOOK).await;
+        }
+        Err(format!("{name} is not {state} after {} s", DONE.as_secs()))
+    }
+
+    async fn restart(&self, mut names: Vec<String>) -> Res<()> {
+        if names.is_empty() {
+            for front in self.fronts().await? {
+                // A drained front is meant to stay so.
+                if text(front.get("state"), "state")? != "drained" {
+                    names.push(text(front.get("name"), "name")?.to_owned());
+                }
+            }
+        }
+        for name in names {
+            self.tell(&name, "restart", "ready").await?;
+        }
+        Ok(())
+    }
+}
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -4,16 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Empty};
-use hyper::header::HOST;
-use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper::{Method, StatusCode};
 use simd_json::prelude::*;
 use simd_json::OwnedValue as Value;
-use tokio::net::TcpStream;
 
 use crate::exchange::Exchange;
+use crate::http::call;
 use crate::interface::{CellId, Listed, NodeInfo, Scope};
 use crate::settings::{flag, int, list, text, Res};
 use crate::upstream::Upstream;
@@ -21,9 +17,6 @@
 /// A watch writes an empty line every 2 s while nothing changes. A machine that is cut off says nothing, and its
 /// connection stays open: silence for two such lines is the end of the watch.
 const SILENT: Duration = Duration::from_millis(4500);
-/// The longest line that is taken in; a list of a thousand servers fits many times over.
-const MOST_LINE: usize = 4 << 20;
-
 /// How far this front has followed discovery.
 pub struct Discovery {
     /// Longest time for a connection to come up.
@@ -57,39 +50,14 @@
     }
 
     async fn watch(&mut self, address: SocketAddr, exchange: &Rc<Exchange<Upstream>>) -> Res<()> {
-        let dialled = tokio::time::timeout(self.dial_timeout, TcpStream::connect(address)).await;
-        let stream = dialled.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
-        let opened = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-        let (mut sender, connection) = opened.map_err(|e| e.to_string())?;
-        // The connection is driven in here, so that it closes with the watch.
-        let watch = async {
-            let target = format!("/registry/instances?watch=1&after={}", self.generation);
-            let request = Request::get(target).header(HOST, address.to_string()).body(Empty::<Bytes>::new());
-            let sent = sender.send_request(request.map_err(|e| e.to_string())?);
-            let answer = tokio::time::timeout(SILENT, sent).await.map_err(|_| "no answer")?;
-            let answer = answer.map_err(|e| e.to_string())?;
-            if answer.status() != StatusCode::OK {
-                return Err(format!("it answered {}", answer.status()));
-            }
-            let mut body = answer.into_body();
-            let mut held = BytesMut::new();
-            loop {
-                let frame =
-                    tokio::time::timeout(SILENT, body.frame()).await.map_err(|_| "the watch is silent")?;
-                let frame = frame.ok_or("the watch has ended")?.map_err(|e| e.to_string())?;
-                held.extend_from_slice(frame.data_ref().map_or(&[][..], |d| d));
-                while let Some(end) = held.iter().position(|b| *b == b'\n') {
-                    let mut line = held.split_to(end + 1);
-                    self.line(&mut line, exchange);
-                }
-                if held.len() > MOST_LINE {
-                    return Err("a line without end".to_owned());
-                }
-            }
-        };
-        tokio::select! {
-            ended = watch => ended,
-            broken = connection => Err(broken.err().map_or("closed".to_owned(), |e| e.to_string())),
+        let path = format!("/registry/instances?watch=1&after={}", self.generation);
+        let mut watch = call(address, Method::GET, &path, String::new(), self.dial_timeout, SILENT).await?;
+        if watch.status != StatusCode::OK {
+            return Err(format!("it answered {}", watch.status));
+        }
+        loop {
+            let mut line = watch.line(SILENT).await?;
+            self.line(&mut line, exchange);
         }
     }
 
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,97 @@
+//! The program as a client of its helpers (discovery, etcd, an agent): one call on a connection of its own, and
+//! answers that come as lines.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::handshake;
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+use crate::settings::Res;
+
+/// The longest line or whole answer that is taken in.
+const MOST: usize = 8 << 20;
+
+/// An answer that is coming. Dropping it closes the connection.
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    body: Incoming,
+    held: BytesMut,
+    _task: Driven,
+}
+
+/// The task that drives a connection, for as long as it is of use.
+struct Driven(JoinHandle<()>);
+
+impl Drop for Driven {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Makes a call. `dial` bounds the connection's coming up, `wait` the time until the answer begins.
+///
+/// # Errors
+/// A plain sentence on what went wrong.
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: String,
+    dial: Duration,
+    wait: Duration,
+) -> Res<Answer> {
+    let dialled = timeout(dial, TcpStream::connect(address)).await;
+    let stream = dialled.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
+    let (mut sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    let task = Driven(tokio::task::spawn_local(async move {
+        // How it ends shows in the answer.
+        let _ = connection.await;
+    }));
+    let mut request = Request::builder().method(method).uri(path).header(HOST, address.to_string());
+    if !body.is_empty() {
+        request = request.header(CONTENT_TYPE, "application/json");
+    }
+    let request = request.body(Full::new(Bytes::from(body)));
+    let sent = sender.send_request(request.map_err(|e| e.to_string())?);
+    let answer = timeout(wait, sent).await.map_err(|_| "no answer in time")?.map_err(|e| e.to_string())?;
+    Ok(Answer { status: answer.status(), body: answer.into_body(), held: BytesMut::new(), _task: task })
+}
+
+impl Answer {
+    /// The next line, without waiting for longer than `silent` for any part of it.
+    ///
+    /// # Errors
+    /// Where it is silent, broken, or without end; and where it has ended.
+    pub async fn line(&mut self, silent: Duration) -> Res<BytesMut> {
+        loop {
+            if let Some(end) = self.held.iter().position(|b| *b == b'\n') {
+                return Ok(self.held.split_to(end + 1));
+            }
+            if self.held.len() > MOST {
+                return Err("a line without end".to_owned());
+            }
+            let frame = timeout(silent, self.body.frame()).await.map_err(|_| "it is silent")?;
+            let frame = frame.ok_or("it has ended")?.map_err(|e| e.to_string())?;
+            self.held.extend_from_slice(frame.data_ref().map_or(&[][..], |d| d));
+        }
+    }
+
+    /// All of it.
+    ///
+    /// # Errors
+    /// Where it does not come whole, in time and within bounds.
+    pub async fn whole(mut self, wait: Duration) -> Res<Vec<u8>> {
+        let whole = timeout(wait, Limited::new(&mut self.body, MOST).collect()).await;
+        Ok(whole.map_err(|_| "it is silent")?.map_err(|e| e.to_string())?.to_bytes().to_vec())
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,11 +33,14 @@
 //! assert!(actions.contains(&Action::Place { id: 1, node: 0, patience: 0 }));
 //! ```
 
+pub mod agent;
 pub mod cli;
 pub mod config;
 pub mod discovery;
+pub mod etcd;
 pub mod exchange;
 pub mod front;
+pub mod http;
 mod interface;
 pub mod listener;
 pub mod object;
