A log that nobody reads brings no front down; bounds on slow heads and bodies

Found by reading: eprintln panics where standard error is closed, and every log line of a front went through it. src/log.rs drops such a line instead; the new scenario closes the log, ends the watch, and is served. Signal handlers are set before the socket listens. A head has 60 s and a body 10 s, so that clients that never finish cannot fill the cap. Log lines name the node and its address instead of the module's number.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -25,6 +25,7 @@
 use crate::front::{on_one_thread, stop};
 use crate::http::call;
 use crate::listener::{listen, plain, Handler, Listener, Reply};
+use crate::log::log;
 use crate::settings::{text, Res};
 
 /// First and longest pause before a crashed front is started again, and how long one must have run for the first
@@ -145,12 +146,12 @@
                             return;
                         }
                     }
-                    Err(why) => eprintln!("{}: {why}", path.display()),
+                    Err(why) => log!("{}: {why}", path.display()),
                 }
                 last = Some(bytes);
             }
             Ok(_) => {}
-            Err(why) => eprintln!("cannot read {}: {why}", path.display()),
+            Err(why) => log!("cannot read {}: {why}", path.display()),
         }
         sleep(LOOK).await;
     }
@@ -215,7 +216,7 @@
             let front = match Front::read(&bytes) {
                 Ok(front) => front,
                 Err(why) => {
-                    eprintln!("front {name}: {why}");
+                    log!("front {name}: {why}");
                     continue;
                 }
             };
@@ -297,7 +298,7 @@
         if began.elapsed() >= SOUND {
             pause = PAUSE;
         }
-        eprintln!("front {name} ended ({why}); again in {pause:?}");
+        log!("front {name} ended ({why}); again in {pause:?}");
         status.borrow_mut().crashed();
         // A change of what is wanted is not kept waiting.
         if let Ok(Err(_)) = timeout(pause, told.changed()).await {
@@ -314,7 +315,7 @@
         let _ = kill(Pid::from_raw(pid), Signal::SIGTERM);
     }
     if timeout(GRACE, child.wait()).await.is_err() {
-        eprintln!("front {name} does not end; it is killed");
+        log!("front {name} does not end; it is killed");
         let _ = child.kill().await;
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -16,6 +16,7 @@
 use crate::etcd::Prefix;
 use crate::front::on_one_thread;
 use crate::http::call;
+use crate::log::log;
 use crate::settings::{list, text, Res};
 use crate::{agent, front, object};
 
@@ -112,7 +113,7 @@
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("tulipbridge: {why}");
+            log!("tulipbridge: {why}");
             ExitCode::from(2)
         }
     }
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -11,6 +11,7 @@
 use crate::exchange::Exchange;
 use crate::http::call;
 use crate::interface::{CellId, Listed, NodeInfo, Scope};
+use crate::log::log;
 use crate::settings::{flag, int, list, text, Res};
 use crate::upstream::Upstream;
 
@@ -43,7 +44,7 @@
         loop {
             exchange.subscribe_wanted().await;
             if let Err(why) = self.watch(address, &exchange).await {
-                eprintln!("discovery: {why}");
+                log!("discovery: {why}");
             }
             exchange.fleet(Scope::Unavailable, Vec::new());
         }
@@ -69,7 +70,7 @@
         let value = simd_json::to_owned_value(line).map_err(|e| e.to_string());
         match value.and_then(|v| self.read(&v, exchange.transport())) {
             Ok((scope, nodes)) => exchange.fleet(scope, nodes),
-            Err(why) => eprintln!("discovery: a line that cannot be read: {why}"),
+            Err(why) => log!("discovery: a line that cannot be read: {why}"),
         }
     }
 
--- a/src/etcd.rs
+++ b/src/etcd.rs
@@ -14,6 +14,7 @@
 use tokio::time::{sleep, Instant};
 
 use crate::http::call;
+use crate::log::log;
 use crate::settings::{list, text, Res};
 
 const DIAL: Duration = Duration::from_secs(2);
@@ -45,7 +46,7 @@
         while !out.is_closed() {
             let began = Instant::now();
             if let Err(why) = self.list_and_watch(&out).await {
-                eprintln!("etcd: {why}");
+                log!("etcd: {why}");
             }
             if began.elapsed() >= BACKOFF_MOST {
                 backoff = BACKOFF;
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{oneshot, Notify};
 
 use crate::interface::*;
+use crate::log::log;
 use crate::state::Scheduler;
 
 /// A module that leaves a request unanswered for this long past its deadline is overruled with a failure.
@@ -63,6 +64,9 @@
     /// What a node answers.
     type Answer: 'static;
 
+    /// What operators call a node.
+    fn name(&self, node: NodeId) -> String;
+
     /// One attempt, sent once at the most. Dropping the future gives the attempt up.
     fn attempt(
         &self,
@@ -185,7 +189,7 @@
                 });
             }
             Action::Subscribe => self.subscribe.notify_one(),
-            Action::Note { text, node } => eprintln!("{text}: {node}"),
+            Action::Note { text, node } => log!("{text}: {}", self.transport.name(node)),
         }
     }
 
--- a/src/front.rs
+++ b/src/front.rs
@@ -34,10 +34,11 @@
 }
 
 async fn front(config: Config) -> Res<()> {
+    // First of all, so that no signal finds the front without them.
+    let stop = stop()?;
     let listener = listen(config.listen).await?;
     let (exchange, side) = assemble(&config)?;
     let names = Names { classes: config.classes, plans: config.plans };
-    let stop = stop()?;
     Listener::new(Server { exchange, names }, side).serve(listener, stop).await;
     Ok(())
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod http;
 mod interface;
 pub mod listener;
+mod log;
 pub mod object;
 mod policy;
 pub mod server;
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -16,15 +16,20 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
+use crate::log::log;
 use crate::upstream::MOST_BODY;
 
 /// Bytes that a connection may hold of what it reads; heads past it are answered 431.
 const MOST_BUFFER: usize = 16 * 1024;
+/// A client's head and body come within these, or its place goes to another. Without them a few hundred that
+/// never finish would keep all others out. The first also ends a connection that stands idle for so long.
+const HEAD: Duration = Duration::from_secs(60);
+const BODY: Duration = Duration::from_secs(10);
 /// Connections past the cap that may stand at once to be told so; more wait to be accepted.
 const TURNED_AWAY: usize = 16;
 /// When a client that was turned away at the door may come back.
@@ -108,7 +113,7 @@
             }
             // Out of descriptors, or a client that left in the queue. Waiting lets others close.
             Err(why) => {
-                eprintln!("cannot accept: {why}");
+                log!("cannot accept: {why}");
                 sleep(Duration::from_millis(10)).await;
             }
         }
@@ -125,6 +130,8 @@
         let mut leaving = self.leaving.subscribe();
         let connection = http1::Builder::new()
             .keep_alive(!full)
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD)
             .max_buf_size(MOST_BUFFER)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
@@ -146,13 +153,15 @@
 /// Reads a body up to the cap.
 ///
 /// # Errors
-/// 413 where it is too large, 400 where it breaks off.
+/// 413 where it is too large, 400 where it breaks off, 408 where it does not come.
 pub async fn read_body(body: Incoming) -> Result<Bytes, StatusCode> {
     if body.size_hint().lower() > MOST_BODY as u64 {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let body = Limited::new(body, MOST_BODY).collect().await;
-    body.map(|b| b.to_bytes()).map_err(|why| match why.downcast_ref::<LengthLimitError>() {
+    let body = timeout(BODY, Limited::new(body, MOST_BODY).collect()).await;
+    body.map_err(|_| StatusCode::REQUEST_TIMEOUT)?.map(|b| b.to_bytes()).map_err(|why| match why
+        .downcast_ref::<LengthLimitError>(
+    ) {
         Some(_) => StatusCode::PAYLOAD_TOO_LARGE,
         None => StatusCode::BAD_REQUEST,
     })
@@ -208,6 +217,6 @@
     let listener =
         TcpListener::bind(address).await.map_err(|e| format!("cannot listen on {address}: {e}"))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
-    eprintln!("listening on {address}");
+    log!("listening on {address}");
     Ok(listener)
 }
--- a/src/object/mod.rs
+++ b/src/object/mod.rs
@@ -55,10 +55,11 @@
 pub fn run(file: &Path) -> Res<()> {
     let config = Config::from_file(file)?;
     on_one_thread(async move {
+        let stop = stop()?;
         let listener = listen(config.base.listen).await?;
         let (exchange, most) = assemble(&config.base)?;
         let front = ObjectFront::new(exchange, config);
-        Listener::new(front, most).serve(listener, stop()?).await;
+        Listener::new(front, most).serve(listener, stop).await;
         Ok(())
     })
 }
@@ -180,6 +181,9 @@
             StatusCode::PAYLOAD_TOO_LARGE => {
                 said(StatusCode::BAD_REQUEST, "EntityTooLarge", "A body holds at most 64 KiB; send parts.")
             }
+            StatusCode::REQUEST_TIMEOUT => {
+                said(StatusCode::BAD_REQUEST, "RequestTimeout", "The body does not come.")
+            }
             _ => said(StatusCode::BAD_REQUEST, "IncompleteBody", "The body breaks off."),
         })?;
         let asked = self.read(&head.method, &head.uri, head.headers)?;
@@ -385,7 +389,7 @@
         if head {
             *reply.body_mut() = Either::Left(Full::default());
         }
-        if code == "EntityTooLarge" || code == "IncompleteBody" {
+        if ["EntityTooLarge", "IncompleteBody", "RequestTimeout"].contains(&code.as_str()) {
             // The rest of the request was not read.
             reply = closing(reply);
         }
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -89,6 +89,7 @@
 }
 
 struct Member {
+    name: String,
     address: SocketAddr,
     cell: CellId,
     /// The latest used last.
@@ -118,7 +119,7 @@
         }
         let id = nodes.list.len();
         nodes.ids.insert(name.to_owned(), id);
-        nodes.list.push(Member { address, cell, idle: Vec::new() });
+        nodes.list.push(Member { name: name.to_owned(), address, cell, idle: Vec::new() });
         id
     }
 
@@ -135,6 +136,11 @@
     type Payload = Payload;
     type Answer = Answer;
 
+    fn name(&self, node: NodeId) -> String {
+        let nodes = self.shared.nodes.borrow();
+        nodes.list.get(node).map_or(String::new(), |m| format!("{} at {}", m.name, m.address))
+    }
+
     fn attempt(
         &self,
         node: NodeId,
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -141,6 +141,16 @@
         send s0 200 | well
         expect c1";
 
+    a_log_that_nobody_reads_brings_nothing_down: Platform, 1, "
+        expect d
+        close log
+        close d
+        expect d
+        send c1 GET /api
+        expect s0
+        send s0 200 | well
+        expect c1";
+
     a_client_that_leaves_takes_nobody_with_it: Platform, 1, "
         send c1 GET /api
         expect s0
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -5,7 +5,7 @@
 //! - `expect s0`: the next request at the server; `expect c1`: the next answer at the client
 //! - `send s0 200 Name:value .. | body`: answers the oldest request that the server holds (`part` breaks off)
 //! - `expect d`, `send d Ready 0`: a watch, and a change on it
-//! - `close c1`: closes a client, a server's oldest request, discovery's watch; `close front`: SIGTERM
+//! - `close c1`: closes a client, a server's oldest request, discovery's watch, the front's log; `close front`: SIGTERM
 //! - `wait 50`: milliseconds; `wait front`: until it has ended
 //!
 //! What was seen is the transcript, kept as a snapshot.
@@ -16,7 +16,7 @@
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::time::{Duration, Instant};
 
 /// How long a step may take before the scenario has failed.
@@ -61,6 +61,7 @@
 
 pub struct World {
     front: Child,
+    log: Option<BufReader<ChildStderr>>,
     kind: Front,
     address: SocketAddr,
     folder: PathBuf,
@@ -121,9 +122,9 @@
         log.read_line(&mut line).expect("it speaks");
         let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
         let address = address.unwrap_or_else(|| panic!("it listens: {line}"));
-        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
         World {
             front,
+            log: Some(log),
             kind,
             address,
             folder,
@@ -183,6 +184,7 @@
                 assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
             }
             ("close", "d", _) => self.watch = None,
+            ("close", "log", _) => self.log = None,
             ("close", _, Some(at)) => drop(self.servers[at].held.pop_front().expect("a request")),
             ("close", _, None) => drop(self.clients.remove(who).expect("a client")),
             ("wait", "front", _) => {
