--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -130,7 +130,16 @@
 }
 
 fn accept(etcd: &TcpListener) -> Call {
-    let (mut stream, _) = etcd.accept().expect("a call");
+    etcd.set_nonblocking(true).expect("settable");
+    let until = Instant::now() + LONG;
+    let mut stream = loop {
+        if let Ok((stream, _)) = etcd.accept() {
+            break stream;
+        }
+        assert!(Instant::now() < until, "no call came");
+        std::thread::sleep(Duration::from_millis(1));
+    };
+    stream.set_nonblocking(false).expect("settable");
     stream.set_read_timeout(Some(LONG)).expect("settable");
     let mut bytes = Vec::new();
     loop {
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -389,9 +389,18 @@
     }
 }
 
+/// The next connection; one that never comes has failed the scenario.
 fn accept(listener: &TcpListener) -> Wire {
-    listener.set_nonblocking(false).expect("settable");
-    Wire::new(listener.accept().expect("a connection").0)
+    listener.set_nonblocking(true).expect("settable");
+    let until = Instant::now() + LONG;
+    loop {
+        if let Ok((stream, _)) = listener.accept() {
+            stream.set_nonblocking(false).expect("settable");
+            return Wire::new(stream);
+        }
+        assert!(Instant::now() < until, "no connection came");
+        std::thread::sleep(Duration::from_millis(1));
+    }
 }
 
 /// A body as spelled in a script: `*N` is N bytes of `x`.
