Count answers and stored records over uploads through two fronts

Seen on the way: every upload was refused at first. Ruled out: the fronts and the module; the toy server in use was the one built before it learned port 0, since a run of one test file builds no examples.

--- a/examples/toy_server.rs
+++ b/examples/toy_server.rs
@@ -45,7 +45,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     LocalSet::new().block_on(&runtime, async move {
         let listener = TcpListener::bind(&address).await.expect("the address is free");
-        println!("toy chunk server on {address}");
+        println!("toy chunk server on {}", listener.local_addr().expect("bound"));
         let store = Rc::new(RefCell::new(Store::default()));
         loop {
             let Ok((stream, _)) = listener.accept().await else { continue };
@@ -91,6 +91,7 @@
         );
         insert(&mut headers, ETAG, &tag);
         insert(&mut headers, LAST_MODIFIED, &httpdate::fmt_http_date(SystemTime::now()));
+        println!("stored {path}");
         self.objects.insert(path, Object { bytes, headers });
         let mut reply = plain(StatusCode::OK, "");
         insert(reply.headers_mut(), ETAG, &tag);
