Name the version that was read where the node leaves it out

Seen in a transcript: a HEAD of version 0.v1 came back as version 0., which names no version. At fault: describe() in src/object/read.rs took the node's header alone.

--- a/src/object/read.rs
+++ b/src/object/read.rs
@@ -50,6 +50,7 @@
             Some(told) => told,
             None => (self.locate(&asked).await?, String::new()),
         };
+        let named = asked.query.get("versionId").and_then(|v| HeaderValue::try_from(v).ok());
         let query = if version.is_empty() { version } else { format!("versionId={}", encoded(&version)) };
         let conditions = || {
             let told = CONDITIONS.iter().filter_map(|n| Some((n.clone(), asked.headers.get(n)?.clone())));
@@ -59,7 +60,7 @@
             let step = self.reading(&asked, cell, Method::HEAD, query, conditions());
             let answer = self.step(&asked, step).await?.succeeded("NoSuchKey")?;
             let mut reply = empty(StatusCode::OK);
-            describe(&answer, reply.headers_mut())?;
+            describe(&answer, named, reply.headers_mut())?;
             copy(&answer.headers, &CONTENT_LENGTH, reply.headers_mut());
             return Ok(reply);
         }
@@ -99,7 +100,7 @@
         }
         let mut reply = empty(if range.is_some() { StatusCode::PARTIAL_CONTENT } else { StatusCode::OK });
         let headers = reply.headers_mut();
-        describe(&piece.answer, headers)?;
+        describe(&piece.answer, named, headers)?;
         headers.insert(CONTENT_LENGTH, HeaderValue::from(end - begin));
         if range.is_some() {
             let told = format!("bytes {begin}-{}/{}", end - 1, piece.size);
@@ -269,10 +270,15 @@
     }
 }
 
-fn describe(answer: &Answer, to: &mut HeaderMap) -> Result<(), Fault> {
+/// What describes an object. A node that leaves out the version that was asked for has read that one.
+fn describe(answer: &Answer, named: Option<HeaderValue>, to: &mut HeaderMap) -> Result<(), Fault> {
     let kept = |n: &HeaderName| DESCRIBED.contains(&n.as_str()) || n.as_str().starts_with("x-amz-meta-");
     to.extend(answer.headers.iter().filter(|(n, _)| kept(n)).map(|(n, v)| (n.clone(), v.clone())));
     to.insert(ACCEPT_RANGES, HeaderValue::from_static("bytes"));
-    to.insert(VERSION_ID, answer.version()?);
+    let version = match named.filter(|_| !answer.headers.contains_key(VERSION_ID)) {
+        Some(named) => named,
+        None => answer.version()?,
+    };
+    to.insert(VERSION_ID, version);
     Ok(())
 }
