Move the watch to the new discovery at SIGHUP instead of ending on it

Now SIGHUP reads the file anew. Where 'discovery' names another address, discovery.rs opens the watch there and reads the old one until the new one stands; a failed call is made again after 200 ms while the old one lasts. The new watch asks from version 0, since another discovery may count in its own way. The file prevails over BALANCER_DISCOVERY, which still tells the start's address. A file that cannot be used changes nothing and is logged. The object front does the same.

The new scenario fails without the change (connection refused after the signal).

--- a/src/config.rs
+++ b/src/config.rs
@@ -48,6 +48,21 @@
         Config::read(&mut bytes, |name| std::env::var(name).ok()).map_err(|why| format!("{path}: {why}"))
     }
 
+    /// Where discovery is, by a file that has come in place of that of the start. Here the file is newer than
+    /// the environment, which stays as it was.
+    ///
+    /// # Errors
+    /// A plain sentence on what is missing or wrong.
+    pub fn moved_discovery() -> Res<Option<SocketAddr>> {
+        let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set")?;
+        let mut bytes = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+        let value = simd_json::to_owned_value(&mut bytes).map_err(|e| format!("{path}: not JSON: {e}"))?;
+        let told = value.get("discovery");
+        let told = told.map(|d| text(Some(d), "discovery").map(str::to_owned)).transpose()?;
+        let parsed = told.map(|d| d.parse().map_err(|_| format!("{path}: 'discovery' {d} is no address")));
+        parsed.transpose()
+    }
+
     /// Reads a configuration. `variable` gives the environment.
     ///
     /// # Errors
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -1,15 +1,20 @@
 //! Discovery: the node list, the watch on its changes, and asking anew when the watch ends.
 
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use hyper::{Method, StatusCode};
 use simd_json::prelude::*;
 use simd_json::OwnedValue as Value;
+use tokio::sync::watch;
+use tokio::time::sleep;
 
 use crate::exchange::Exchange;
-use crate::http::call;
+use crate::http::{call, Answer};
 use crate::interface::{CellId, Listed, NodeInfo, Scope};
 use crate::log::log;
 use crate::settings::{flag, int, list, text, Res};
@@ -18,6 +23,12 @@
 /// A watch writes an empty line every 2 s while nothing changes. A machine that is cut off says nothing, and its
 /// connection stays open: silence for two such lines is the end of the watch.
 const SILENT: Duration = Duration::from_millis(4500);
+/// Between two calls to the discovery that a new configuration names, while the old one still tells.
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// A watch that is being opened.
+type Opening = Pin<Box<dyn Future<Output = Res<Answer>>>>;
+
 /// How far this front has followed discovery.
 pub struct Discovery {
     /// Longest time for a connection to come up.
@@ -39,26 +50,59 @@
         Ok(())
     }
 
-    /// Follows discovery for as long as the program runs. When to ask is the module's to say.
-    pub async fn follow(mut self, address: SocketAddr, exchange: Rc<Exchange<Upstream>>) {
+    /// Follows discovery for as long as the program runs, to wherever the configuration moves it. When to ask
+    /// is the module's to say; a move is asked at once, since the time until news counts as told runs already.
+    pub async fn follow(
+        mut self,
+        mut address: watch::Receiver<Option<SocketAddr>>,
+        exchange: Rc<Exchange<Upstream>>,
+    ) {
         loop {
-            exchange.subscribe_wanted().await;
-            if let Err(why) = self.watch(address, &exchange).await {
+            tokio::select! {
+                () = exchange.subscribe_wanted() => {}
+                Ok(()) = address.changed() => {}
+            }
+            // Without discovery the list as last held is all there is, until a configuration names one.
+            let Some(at) = *address.borrow_and_update() else { continue };
+            if let Err(why) = self.watch(at, &mut address, &exchange).await {
                 log!("discovery: {why}");
             }
             exchange.fleet(Scope::Unavailable, Vec::new());
         }
     }
 
-    async fn watch(&mut self, address: SocketAddr, exchange: &Rc<Exchange<Upstream>>) -> Res<()> {
-        let path = format!("/registry/instances?watch=1&after={}", self.generation);
-        let mut watch = call(address, Method::GET, &path, String::new(), self.dial_timeout, SILENT).await?;
-        if watch.status != StatusCode::OK {
-            return Err(format!("it answered {}", watch.status));
-        }
+    /// Watches until the watch ends. Where the address changes meanwhile, the old watch is read on until the
+    /// new one stands, so that no change falls between them.
+    async fn watch(
+        &mut self,
+        mut at: SocketAddr,
+        address: &mut watch::Receiver<Option<SocketAddr>>,
+        exchange: &Rc<Exchange<Upstream>>,
+    ) -> Res<()> {
+        let dial = self.dial_timeout;
+        let mut watch: Option<Answer> = None;
+        let mut next: Option<Opening> = Some(Box::pin(open(at, self.generation, dial, Duration::ZERO)));
         loop {
-            let mut line = watch.line(SILENT).await?;
-            self.line(&mut line, exchange);
+            tokio::select! {
+                line = line(&mut watch) => match line {
+                    Ok(mut line) => self.line(&mut line, exchange),
+                    Err(why) if next.is_none() => return Err(why),
+                    Err(_) => watch = None,
+                },
+                Ok(()) = address.changed() => {
+                    at = address.borrow_and_update().unwrap_or(at);
+                    // Another discovery may count versions in a way of its own: from 0 it tells all.
+                    next = Some(Box::pin(open(at, 0, dial, Duration::ZERO)));
+                }
+                opened = ready(&mut next) => match opened {
+                    Ok(opened) => (watch, next) = (Some(opened), None),
+                    Err(why) if watch.is_none() => return Err(why),
+                    Err(why) => {
+                        log!("discovery: {why}");
+                        next = Some(Box::pin(open(at, 0, dial, AGAIN)));
+                    }
+                },
+            }
         }
     }
 
@@ -101,3 +145,30 @@
         Ok(NodeInfo { node: upstream.locate(name, address, cell), zone: zone as u32, cell, listed, came_up })
     }
 }
+
+/// Opens a watch on what changed after a version, after a pause.
+async fn open(address: SocketAddr, after: i64, dial: Duration, pause: Duration) -> Res<Answer> {
+    sleep(pause).await;
+    let path = format!("/registry/instances?watch=1&after={after}");
+    let watch = call(address, Method::GET, &path, String::new(), dial, SILENT).await?;
+    match watch.status {
+        StatusCode::OK => Ok(watch),
+        status => Err(format!("it answered {status}")),
+    }
+}
+
+/// The next line of a watch; never, where there is none.
+async fn line(watch: &mut Option<Answer>) -> Res<BytesMut> {
+    match watch {
+        Some(watch) => watch.line(SILENT).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// The end of the opening; never, where there is none.
+async fn ready(opening: &mut Option<Opening>) -> Res<Answer> {
+    match opening {
+        Some(opening) => opening.await,
+        None => std::future::pending().await,
+    }
+}
--- a/src/front.rs
+++ b/src/front.rs
@@ -1,16 +1,19 @@
 //! Puts a front together and runs it until it is told to stop.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 
 use crate::config::Config;
 use crate::discovery::Discovery;
 use crate::exchange::Exchange;
 use crate::listener::{listen, Listener};
+use crate::log::log;
 use crate::server::{Names, Server};
 use crate::settings::Res;
 use crate::upstream::Upstream;
@@ -36,19 +39,23 @@
 async fn front(config: Config) -> Res<()> {
     // First of all, so that no signal finds the front without them.
     let stop = stop()?;
+    let moved = reload(config.discovery, Config::moved_discovery)?;
     let listener = listen(config.listen).await?;
-    let (exchange, side) = assemble(&config)?;
+    let (exchange, side) = assemble(&config, moved)?;
     let names = Names { classes: config.classes, plans: config.plans };
     Listener::new(Server { exchange, names }, side).serve(listener, stop).await;
     Ok(())
 }
 
-/// The parts behind a front: the exchange, its upstream and discovery. Gives also how many connections the
-/// client side may hold.
+/// The parts behind a front: the exchange, its upstream and discovery, which is at the address told. Gives also
+/// how many connections the client side may hold.
 ///
 /// # Errors
 /// A plain sentence on a configuration that cannot hold.
-pub fn assemble(config: &Config) -> Res<(Rc<Exchange<Upstream>>, usize)> {
+pub fn assemble(
+    config: &Config,
+    address: watch::Receiver<Option<SocketAddr>>,
+) -> Res<(Rc<Exchange<Upstream>>, usize)> {
     // Of the descriptors, the sides share all but a reserve for discovery, the listener and the runtime.
     let side = config.sockets.saturating_sub(64).max(32) / 2;
     let upstream = Upstream::new(config.dial_timeout, config.idle_close, side);
@@ -57,9 +64,7 @@
     let dial_timeout = config.dial_timeout;
     let mut discovery = Discovery { dial_timeout, zones: config.zones.clone(), generation: 0 };
     discovery.restore(&config.known, &exchange).map_err(|why| format!("'known': {why}"))?;
-    if let Some(address) = config.discovery {
-        spawn_local(discovery.follow(address, Rc::clone(&exchange)));
-    }
+    spawn_local(discovery.follow(address, Rc::clone(&exchange)));
     let swept = Rc::clone(&exchange);
     spawn_local(async move {
         loop {
@@ -70,6 +75,31 @@
     Ok((exchange, side))
 }
 
+/// Where discovery is: as told at the start, and after each SIGHUP as `read` finds it in the new file. A file
+/// that cannot be used changes nothing and is said in the log: serving on as before beats not serving.
+///
+/// # Errors
+/// Where the system gives no signals.
+pub fn reload(
+    told: Option<SocketAddr>,
+    read: impl Fn() -> Res<Option<SocketAddr>> + 'static,
+) -> Res<watch::Receiver<Option<SocketAddr>>> {
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
+    let (sender, receiver) = watch::channel(told);
+    spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            match read() {
+                Ok(Some(address)) => {
+                    sender.send_if_modified(|held| held.replace(address) != Some(address));
+                }
+                Ok(None) => log!("the new configuration names no discovery; the old one stays"),
+                Err(why) => log!("the new configuration cannot be used, the old one stays: {why}"),
+            }
+        }
+    });
+    Ok(receiver)
+}
+
 /// Comes true at SIGTERM or SIGINT.
 ///
 /// # Errors
--- a/src/object/mod.rs
+++ b/src/object/mod.rs
@@ -25,7 +25,7 @@
 use percent_encoding::{percent_decode_str, utf8_percent_encode, NON_ALPHANUMERIC};
 
 use crate::exchange::{Exchange, Final};
-use crate::front::{assemble, on_one_thread, stop};
+use crate::front::{assemble, on_one_thread, reload, stop};
 use crate::interface;
 use crate::interface::CellId;
 use crate::listener::{closing, listen, plain, read_body, Handler, Listener, Reply};
@@ -56,8 +56,10 @@
     let config = Config::from_file(file)?;
     on_one_thread(async move {
         let stop = stop()?;
+        let file = file.to_owned();
+        let moved = reload(config.base.discovery, move || Ok(Config::from_file(&file)?.base.discovery))?;
         let listener = listen(config.base.listen).await?;
-        let (exchange, most) = assemble(&config.base)?;
+        let (exchange, most) = assemble(&config.base, moved)?;
         let front = ObjectFront::new(exchange, config);
         Listener::new(front, most).serve(listener, stop).await;
         Ok(())
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -141,6 +141,28 @@
         send s0 200 | well
         expect c1";
 
+    a_new_configuration_moves_the_watch_and_a_bad_one_changes_nothing: Platform, 2, "
+        expect d
+        reload {half a file
+        wait 300
+        send c1 GET /api shard:0
+        expect s0
+        reload
+        wait 300
+        send d Terminating 1
+        wait 300
+        send c2 GET /api shard:1 X-Remaining:400m
+        expect c2
+        expect d
+        send s0 200 | taken before
+        expect c1
+        send d Ready 1
+        wait 300
+        send c2 GET /api shard:1
+        expect s1
+        send s1 200 | told by the new one
+        expect c2";
+
     a_log_that_nobody_reads_brings_nothing_down: Platform, 1, "
         expect d
         close log
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -5,6 +5,7 @@
 //! - `expect s0`: the next request at the server; `expect c1`: the next answer at the client
 //! - `send s0 200 Name:value .. | body`: answers the oldest request that the server holds (`part` breaks off)
 //! - `expect d`, `send d Ready 0`: a watch, and a change on it
+//! - `reload`: SIGHUP, with discovery elsewhere in the new file; `reload TEXT`: with that as the file
 //! - `close c1`: closes a client, a server's oldest request, discovery's watch, the front's log; `close front`: SIGTERM
 //! - `wait 50`: milliseconds; `wait front`: until it has ended
 //!
@@ -69,6 +70,7 @@
     asked: HashMap<String, String>,
     servers: Vec<Server>,
     discovery: TcpListener,
+    config: String,
     watch: Option<Wire>,
     generation: u32,
     requests: u32,
@@ -110,10 +112,12 @@
         );
         let config = config.replace("\"Shards\": 10", &format!("\"Shards\": {}", servers.len()));
         let file = folder.join("config.json");
-        std::fs::write(&file, config).expect("written");
+        std::fs::write(&file, &config).expect("written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_tulipbridge"));
         match kind {
-            Front::Platform => command.env("BALANCER_CONFIG", &file),
+            Front::Platform => command
+                .env("BALANCER_CONFIG", &file)
+                .env("BALANCER_DISCOVERY", discovery.local_addr().expect("bound").to_string()),
             Front::Object => command.arg("object").arg(&file),
         };
         let mut front = command.stderr(Stdio::piped()).spawn().expect("the program starts");
@@ -132,6 +136,7 @@
             asked: HashMap::new(),
             servers,
             discovery,
+            config,
             watch: None,
             generation: 1,
             requests: 0,
@@ -179,10 +184,8 @@
                     }
                 }
             }
-            ("close", "front", _) => {
-                let pid = self.front.id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
-            }
+            ("close", "front", _) => self.signal("-TERM"),
+            ("reload", _, _) => self.reload(told.strip_prefix("reload ")),
             ("close", "d", _) => self.watch = None,
             ("close", "log", _) => self.log = None,
             ("close", _, Some(at)) => drop(self.servers[at].held.pop_front().expect("a request")),
@@ -196,6 +199,24 @@
         }
     }
 
+    fn signal(&self, signal: &str) {
+        let pid = self.front.id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().expect("kill").success());
+    }
+
+    /// A new file and SIGHUP. The watch on the old discovery stays open until the next is expected.
+    fn reload(&mut self, file: Option<&str>) {
+        let old = self.discovery.local_addr().expect("bound").to_string();
+        if file.is_none() {
+            self.discovery = TcpListener::bind("127.0.0.1:0").expect("a free port");
+            let new = self.discovery.local_addr().expect("bound").to_string();
+            self.config = self.config.replace(&old, &new);
+        }
+        let written = std::fs::write(self.folder.join("config.json"), file.unwrap_or(&self.config));
+        written.expect("written");
+        self.signal("-HUP");
+    }
+
     /// A client's request; the platform's headers are added where the line does not give them.
     fn ask(&mut self, who: &str, rest: &str) {
         self.requests += 1;
