Make room for usual clients; frame requests here and drain before closing

Now framing.rs stands beneath hyper and knows what each connection is about: silent, half a head, half a body, open, idle, closing. Where places are short the one of least use gives its up (closing, silent for 100 ms, idle for 2 s, half a request for 500 ms; oldest first); an open request never. A first request must be whole 2.7 s after connecting. It also settles where a request ends before hyper sees it: Content-Length with Transfer-Encoding, doubled or unreadable lengths and bytes right behind a request get 400 and a close, and hyper is passed nothing behind it. After an answer that ends a connection, what still comes is read and dropped for a bounded time, so that the error is not lost to a reset. The sides share all but 24 descriptors, 3 to 2, bounded by memory_mb.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -10,8 +10,7 @@
 use std::time::Duration;
 
 use http_body_util::{Either, Full};
-use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Response, StatusCode};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use simd_json::prelude::*;
@@ -24,7 +23,7 @@
 use crate::etcd::{Declared, Prefix};
 use crate::front::{on_one_thread, stop};
 use crate::http::call;
-use crate::listener::{listen, plain, Handler, Listener, Reply};
+use crate::listener::{listen, plain, Handler, Listener, Reply, Taken};
 use crate::log::log;
 use crate::settings::{text, Res};
 
@@ -324,7 +323,10 @@
 struct Control(Rc<Agent>);
 
 impl Handler for Control {
-    async fn answer(&self, request: Request<Incoming>, _leaving: bool) -> Reply {
+    async fn answer(&self, request: Taken, _leaving: bool) -> Reply {
+        if let Err(status) = *request.body() {
+            return plain(status, "the request is not taken");
+        }
         let path = request.uri().path().to_owned();
         let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
         match (request.method(), parts.as_slice()) {
--- a/src/config.rs
+++ b/src/config.rs
@@ -19,6 +19,8 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes of memory that it may use.
+    pub memory: usize,
     /// The node list as last held, in discovery's form.
     pub known: Value,
     /// The settings, for the module.
@@ -84,7 +86,10 @@
             Ok::<_, String>(Duration::from_nanos(if told > 0.0 { told } else { usual } as u64))
         };
         let seed = text(value.get("seed"), "seed")?;
-        let own = value.get("limits").map_or(Ok(0.0), |l| num(l, "sockets"))?;
+        let limit = |key: &str, usual: f64| {
+            let told = value.get("limits").map_or(Ok(0.0), |l| num(l, key))?;
+            Ok::<_, String>(if told > 0.0 { told } else { usual } as usize)
+        };
         Ok(Config {
             listen: address("BALANCER_LISTEN", "listen")?,
             discovery: match (variable("BALANCER_DISCOVERY"), value.get("discovery")) {
@@ -92,7 +97,8 @@
                 _ => Some(address("BALANCER_DISCOVERY", "discovery")?),
             },
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("'seed' {seed} is not in hex digits"))?,
-            sockets: if own > 0.0 { own as usize } else { 1024 },
+            sockets: limit("sockets", 1024.0)?,
+            memory: limit("memory_mb", 192.0)?.saturating_mul(1 << 20),
             known: value.get("known").cloned().ok_or("'known' is missing")?,
             settings: settings(boot)?,
             classes: names(boot, "Services")?,
--- /dev/null
+++ b/src/framing.rs
@@ -0,0 +1,396 @@
+//! A client's connection beneath hyper: what arrives on the wire is looked at here first, so that hyper and the
+//! front never disagree on where a request ends, and so that it is known what each connection is about.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+
+use bytes::{Buf, BytesMut};
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::StatusCode;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Bytes of a head; what is longer is answered 431.
+pub const MOST_HEAD: usize = 16 * 1024;
+/// Fields of a head, as hyper takes them.
+const MOST_FIELDS: usize = 100;
+/// From connecting until the first request is whole: whoever sends what is no request learns so within 3 s.
+const FIRST: Duration = Duration::from_millis(2700);
+/// From the first byte of a later request until it is whole.
+const LATER: Duration = Duration::from_secs(6);
+
+/// What a connection is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Nothing has come yet.
+    Silent,
+    /// A head has begun.
+    Head,
+    /// A body is awaited.
+    Body,
+    /// A request is being answered.
+    Open,
+    /// Its last request has been answered.
+    Idle,
+    /// It is over; what is still on its way is read and dropped.
+    Closing,
+}
+
+/// What is known of a client's connection.
+pub struct Client {
+    phase: Cell<Phase>,
+    since: Cell<Instant>,
+    came: Instant,
+    spoken: Cell<bool>,
+    fault: Cell<Option<StatusCode>>,
+    last: Cell<bool>,
+    /// Told when the connection must go.
+    pub gone: Notify,
+}
+
+impl Client {
+    /// One that has just connected.
+    pub fn new() -> Rc<Client> {
+        let now = Instant::now();
+        Rc::new(Client {
+            phase: Cell::new(Phase::Silent),
+            since: Cell::new(now),
+            came: now,
+            spoken: Cell::new(false),
+            fault: Cell::new(None),
+            last: Cell::new(false),
+            gone: Notify::new(),
+        })
+    }
+
+    /// What it is about, and since when.
+    pub fn phase(&self) -> (Phase, Instant) {
+        (self.phase.get(), self.since.get())
+    }
+
+    /// Says what it is about from now on. The time of a request runs on from its head to its body.
+    pub fn enter(&self, phase: Phase) {
+        if phase != Phase::Body && phase != self.phase.get() {
+            self.since.set(Instant::now());
+        }
+        self.spoken.set(self.spoken.get() || phase == Phase::Idle);
+        self.phase.set(phase);
+    }
+
+    /// When the present request must have come whole.
+    pub fn limit(&self) -> Instant {
+        if self.spoken.get() {
+            self.since.get() + LATER
+        } else {
+            self.came + FIRST
+        }
+    }
+
+    /// When it came.
+    pub fn came(&self) -> Instant {
+        self.came
+    }
+
+    /// What is wrong with how the present request is framed.
+    pub fn fault(&self) -> Option<StatusCode> {
+        self.fault.get()
+    }
+
+    /// Whether nothing may be read behind the present request.
+    pub fn last(&self) -> bool {
+        self.last.get()
+    }
+}
+
+/// What is read next.
+enum Reading {
+    Head,
+    /// So many bytes of a body.
+    Body(u64),
+    /// The request is whole: nothing may come before its answer has gone out.
+    Whole,
+    /// The last request on this connection: hyper makes of it what it can.
+    Rest,
+}
+
+/// A client's socket, as hyper sees it.
+pub struct Framed {
+    /// Shared with the listener, which reads on where hyper has ended.
+    read: Rc<RefCell<OwnedReadHalf>>,
+    write: OwnedWriteHalf,
+    client: Rc<Client>,
+    held: BytesMut,
+    /// So many bytes of what is held are hyper's.
+    free: usize,
+    reading: Reading,
+    /// Whether some of the answer to the present request has been written.
+    answered: bool,
+}
+
+impl Framed {
+    /// On a connection's two halves.
+    pub fn new(read: Rc<RefCell<OwnedReadHalf>>, write: OwnedWriteHalf, client: Rc<Client>) -> Framed {
+        Framed {
+            read,
+            write,
+            client,
+            held: BytesMut::new(),
+            free: 0,
+            reading: Reading::Head,
+            answered: false,
+        }
+    }
+
+    /// Takes in what has come; 0 is the end.
+    fn more(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let mut bytes = [0; 4096];
+        let mut buf = ReadBuf::new(&mut bytes);
+        ready!(Pin::new(&mut *self.read.borrow_mut()).poll_read(cx, &mut buf))?;
+        self.held.extend_from_slice(buf.filled());
+        Poll::Ready(Ok(buf.filled().len()))
+    }
+
+    /// Frees a head for hyper, where it has come whole, and says how its body is framed.
+    fn head(&mut self) {
+        // Empty lines ahead of a request are to be passed over.
+        let blank = self.held.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
+        self.held.advance(blank);
+        let Some(end) = self.held.windows(4).position(|w| w == b"\r\n\r\n") else {
+            if self.held.len() >= MOST_HEAD {
+                self.client.fault.set(Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
+                self.reading = Reading::Rest;
+            }
+            return;
+        };
+        self.free = end + 4;
+        self.answered = false;
+        match framing(&self.held[..self.free]) {
+            Ok(Some(length)) => {
+                self.reading = Reading::Body(length);
+                self.client.enter(Phase::Body);
+                self.whole_or(length, self.free);
+            }
+            Ok(None) => {
+                self.client.last.set(true);
+                self.client.enter(Phase::Body);
+                self.reading = Reading::Rest;
+            }
+            Err(status) => {
+                self.client.fault.set(Some(status));
+                self.reading = Reading::Rest;
+            }
+        }
+    }
+
+    /// The body lacks so many bytes; what is held begins with so many that are accounted for. Whatever stands
+    /// behind a whole request shows that its length is wrong: a client sends one request at a time.
+    fn whole_or(&mut self, left: u64, from: usize) {
+        let come = (self.held.len() - from).min(usize::try_from(left).unwrap_or(usize::MAX));
+        self.free = from + come;
+        let left = left - come as u64;
+        self.reading = if left == 0 { Reading::Whole } else { Reading::Body(left) };
+        if left == 0 {
+            self.client.enter(Phase::Open);
+            if self.held[self.free..].iter().any(|b| !matches!(b, b'\r' | b'\n')) {
+                self.client.fault.set(Some(StatusCode::BAD_REQUEST));
+                self.client.last.set(true);
+            }
+        }
+    }
+}
+
+impl AsyncRead for Framed {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let framed = &mut *self;
+        loop {
+            if framed.free > 0 {
+                let count = framed.free.min(buf.remaining());
+                buf.put_slice(&framed.held[..count]);
+                framed.held.advance(count);
+                framed.free -= count;
+                return Poll::Ready(Ok(()));
+            }
+            match framed.reading {
+                Reading::Head => {
+                    framed.head();
+                    if framed.free > 0 || matches!(framed.reading, Reading::Rest) {
+                        continue;
+                    }
+                    if ready!(framed.more(cx))? == 0 {
+                        return Poll::Ready(Ok(()));
+                    }
+                    framed.client.enter(Phase::Head);
+                }
+                Reading::Body(left) => {
+                    if framed.held.is_empty() && ready!(framed.more(cx))? == 0 {
+                        return Poll::Ready(Ok(()));
+                    }
+                    framed.whole_or(left, 0);
+                }
+                Reading::Whole => {
+                    if framed.answered && framed.client.phase.get() == Phase::Idle {
+                        if framed.client.last.get() {
+                            return Poll::Ready(Ok(()));
+                        }
+                        framed.reading = Reading::Head;
+                        continue;
+                    }
+                    // Only the end is of interest now. Bytes that a client sends before it has its answer are
+                    // no request of its own; the connection ends with this answer.
+                    if framed.client.last.get() {
+                        return Poll::Pending;
+                    }
+                    if ready!(framed.more(cx))? == 0 {
+                        return Poll::Ready(Ok(()));
+                    }
+                    framed.client.last.set(true);
+                }
+                Reading::Rest => {
+                    if framed.held.is_empty() && ready!(framed.more(cx))? == 0 {
+                        return Poll::Ready(Ok(()));
+                    }
+                    framed.free = framed.held.len();
+                }
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Framed {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let count = ready!(Pin::new(&mut self.write).poll_write(cx, buf))?;
+        self.answered |= matches!(self.reading, Reading::Whole) && count > 0;
+        Poll::Ready(Ok(count))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.write).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.write).poll_shutdown(cx)
+    }
+}
+
+/// How the body behind a head is framed: its length, or in chunks. hyper settles lengths that contradict each
+/// other in silence, and what another party takes for a second request would pass as a body.
+fn framing(head: &[u8]) -> Result<Option<u64>, StatusCode> {
+    const BAD: StatusCode = StatusCode::BAD_REQUEST;
+    let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+    let mut request = httparse::Request::new(&mut fields);
+    match request.parse(head) {
+        Ok(httparse::Status::Complete(length)) if length == head.len() => {}
+        Err(httparse::Error::TooManyHeaders) => return Err(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
+        _ => return Err(BAD),
+    }
+    let named = |name: &str| {
+        request
+            .headers
+            .iter()
+            .filter(|f| f.name.eq_ignore_ascii_case(name))
+            .map(|f| f.value)
+            .collect::<Vec<_>>()
+    };
+    match (named("content-length").as_slice(), named("transfer-encoding").as_slice()) {
+        ([], []) => Ok(Some(0)),
+        ([length], []) if !length.is_empty() && length.iter().all(u8::is_ascii_digit) => {
+            let length = std::str::from_utf8(length).ok().and_then(|l| l.parse().ok());
+            length.map(Some).ok_or(StatusCode::PAYLOAD_TOO_LARGE)
+        }
+        ([], [coding]) if coding.eq_ignore_ascii_case(b"chunked") => Ok(None),
+        _ => Err(BAD),
+    }
+}
+
+/// An answer's body that tells when it has been handed over whole, or given up.
+pub struct Answering<B> {
+    body: B,
+    _open: Open,
+}
+
+impl<B> Answering<B> {
+    /// Around a body.
+    pub fn new(body: B, open: Open) -> Answering<B> {
+        Answering { body, _open: open }
+    }
+}
+
+impl<B: Body + Unpin> Body for Answering<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A request that is being answered; it is over when this goes.
+pub struct Open {
+    client: Rc<Client>,
+    count: Rc<Cell<usize>>,
+}
+
+impl Open {
+    /// Counts one more.
+    pub fn new(client: &Rc<Client>, count: &Rc<Cell<usize>>) -> Open {
+        count.set(count.get() + 1);
+        Open { client: Rc::clone(client), count: Rc::clone(count) }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.count.set(self.count.get() - 1);
+        self.client.enter(Phase::Idle);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lengths_that_contradict_each_other_are_no_framing() {
+        let told = |fields: &str| framing(format!("PUT / HTTP/1.1\r\n{fields}\r\n").as_bytes());
+        assert_eq!(told(""), Ok(Some(0)));
+        assert_eq!(told("content-length: 12\r\n"), Ok(Some(12)));
+        assert_eq!(told("Transfer-Encoding: chunked\r\n"), Ok(None));
+        for bad in [
+            "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+            "Content-Length: 3\r\nContent-Length: 3\r\n",
+            "Content-Length: -3\r\n",
+            "Content-Length: +3\r\n",
+            "Content-Length: 3, 3\r\n",
+            "Content-Length:\r\n",
+            "Transfer-Encoding: gzip, chunked\r\n",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+            "Content-Length : 3\r\n",
+            "\n",
+        ] {
+            assert_eq!(told(bad), Err(StatusCode::BAD_REQUEST), "{bad:?}");
+        }
+        assert_eq!(told("Content-Length: 99999999999999999999\r\n"), Err(StatusCode::PAYLOAD_TOO_LARGE));
+    }
+}
--- a/src/front.rs
+++ b/src/front.rs
@@ -16,7 +16,10 @@
 use crate::log::log;
 use crate::server::{Names, Server};
 use crate::settings::Res;
-use crate::upstream::Upstream;
+use crate::upstream::{Upstream, MOST_BODY};
+
+/// Descriptors that are not connections with clients or chunk servers.
+const RESERVED: usize = 24;
 
 /// Runs one front, on one thread, until SIGTERM or SIGINT.
 ///
@@ -56,9 +59,11 @@
     config: &Config,
     address: watch::Receiver<Option<SocketAddr>>,
 ) -> Res<(Rc<Exchange<Upstream>>, usize)> {
-    // Of the descriptors, the sides share all but a reserve for discovery, the listener and the runtime.
-    let side = config.sockets.saturating_sub(64).max(32) / 2;
-    let upstream = Upstream::new(config.dial_timeout, config.idle_close, side);
+    // Of the descriptors, a few are the runtime's, the log's, the listener's and discovery's; the chunk servers'
+    // side pools its connections and needs the smaller part. Memory bounds both, at a body each way.
+    let both = config.sockets.saturating_sub(RESERVED).min(config.memory / (2 * MOST_BODY)).max(32);
+    let servers = both * 2 / 5;
+    let upstream = Upstream::new(config.dial_timeout, config.idle_close, servers);
     let exchange =
         Exchange::new(config.settings.clone(), config.seed, upstream).map_err(|e| e.to_string())?;
     let dial_timeout = config.dial_timeout;
@@ -72,7 +77,7 @@
             swept.transport().sweep();
         }
     });
-    Ok((exchange, side))
+    Ok((exchange, both - servers))
 }
 
 /// Where discovery is: as told at the start, and after each SIGHUP as `read` finds it in the new file. A file
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod discovery;
 pub mod etcd;
 pub mod exchange;
+mod framing;
 pub mod front;
 pub mod http;
 mod interface;
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -1,6 +1,7 @@
-//! Connections from clients, for either front: the cap on them, and leaving in order.
+//! Connections from clients, for either front: the places for them, who gives his up, and leaving in order.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -16,24 +17,35 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
+use crate::framing::{Answering, Client, Framed, Open, Phase, MOST_HEAD};
 use crate::log::log;
 use crate::upstream::MOST_BODY;
 
-/// Bytes that a connection may hold of what it reads; heads past it are answered 431.
-const MOST_BUFFER: usize = 16 * 1024;
-/// A client's head and body come within these, or its place goes to another. Without them a few hundred that
-/// never finish would keep all others out. The first also ends a connection that stands idle for so long.
-const HEAD: Duration = Duration::from_secs(60);
-const BODY: Duration = Duration::from_secs(10);
+/// A connection that stands idle for so long is closed, needed or not.
+const IDLE: Duration = Duration::from_secs(60);
+/// Where places are short, they are taken from connections that have said nothing for the first, stood idle after
+/// an answer for the second, or are in the middle of a request for the third.
+const SILENT: Duration = Duration::from_millis(100);
+const IDLE_SHORT: Duration = Duration::from_secs(2);
+const HALF: Duration = Duration::from_millis(500);
+/// How often connections are looked at.
+const LOOK: Duration = Duration::from_millis(100);
 /// Connections past the cap that may stand at once to be told so; more wait to be accepted.
 const TURNED_AWAY: usize = 16;
 /// When a client that was turned away at the door may come back.
 const DOOR_WAIT: Duration = Duration::from_millis(250);
+/// A connection that this side has ended is read on for so long at the most, and no longer than the second
+/// without a byte: closing on bytes that were not read would reset it, and could take the answer along.
+const DRAIN: Duration = Duration::from_secs(4);
+const DRAIN_QUIET: Duration = Duration::from_millis(500);
+/// Bytes that are dropped at once.
+const DROPPED: usize = 64 * 1024;
 /// After SIGTERM new connections are taken until none has come for the first, for no less than the second and no
 /// more than the third; clients learn of a restart that late.
 const QUIET: Duration = Duration::from_millis(200);
@@ -45,32 +57,45 @@
 /// An answer: whole, or passed on piece by piece.
 pub type Reply = Response<Either<Full<Bytes>, Channel<Bytes, io::Error>>>;
 
+/// A request with its body, or why that is not taken.
+pub type Taken = Request<Result<Bytes, StatusCode>>;
+
 /// What a front does with a request.
 pub trait Handler: 'static {
     /// The one answer to a request.
-    fn answer(&self, request: Request<Incoming>, leaving: bool) -> impl Future<Output = Reply>;
+    fn answer(&self, request: Taken, leaving: bool) -> impl Future<Output = Reply>;
 }
 
 /// A front's socket, its connections and its leaving.
 pub struct Listener<H> {
     handler: H,
     most: usize,
-    connections: Cell<usize>,
-    requests: Cell<usize>,
+    clients: RefCell<HashMap<u64, Rc<Client>>>,
+    next: Cell<u64>,
+    requests: Rc<Cell<usize>>,
     leaving: watch::Sender<bool>,
+    dropped: RefCell<Vec<u8>>,
 }
 
 impl<H: Handler> Listener<H> {
     /// A front that takes at most so many connections.
     pub fn new(handler: H, most: usize) -> Rc<Listener<H>> {
-        let (connections, requests) = (Cell::new(0), Cell::new(0));
-        Rc::new(Listener { handler, most, connections, requests, leaving: watch::Sender::new(false) })
+        Rc::new(Listener {
+            handler,
+            most: most.saturating_sub(TURNED_AWAY).max(1),
+            clients: RefCell::default(),
+            next: Cell::new(0),
+            requests: Rc::default(),
+            leaving: watch::Sender::new(false),
+            dropped: RefCell::new(vec![0; DROPPED]),
+        })
     }
 
     /// Serves until the signal comes, then answers all that was taken.
     pub async fn serve(self: &Rc<Self>, listener: TcpListener, signal: impl Future<Output = ()>) {
         tokio::select! {
             () = self.accept(&listener) => {}
+            () = self.look() => {}
             () = signal => {}
         }
         let told = Instant::now();
@@ -86,12 +111,16 @@
         self.leaving.send_replace(true);
         // A request may be on its way into this process still; a connection that is idle closes by itself.
         let mut idle = 0;
-        while self.connections.get() > 0 && idle < 10 && told.elapsed() < END {
+        while self.held() > 0 && idle < 10 && told.elapsed() < END {
             idle = if self.requests.get() == 0 { idle + 1 } else { 0 };
             sleep(Duration::from_millis(20)).await;
         }
     }
 
+    fn held(&self) -> usize {
+        self.clients.borrow().len()
+    }
+
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         loop {
             self.accept_one(listener).await;
@@ -99,16 +128,25 @@
     }
 
     async fn accept_one(self: &Rc<Self>, listener: &TcpListener) {
-        while self.connections.get() >= self.most + TURNED_AWAY {
+        loop {
+            while self.held() >= self.most && self.make_room() {}
+            if self.held() < self.most + TURNED_AWAY {
+                break;
+            }
             sleep(Duration::from_millis(5)).await;
         }
         match listener.accept().await {
             Ok((stream, _)) => {
-                self.connections.set(self.connections.get() + 1);
-                let server = Rc::clone(self);
+                let (server, client, number) = (Rc::clone(self), Client::new(), self.next.get());
+                self.next.set(number + 1);
+                let full = self.held() >= self.most;
+                self.clients.borrow_mut().insert(number, Rc::clone(&client));
                 tokio::task::spawn_local(async move {
-                    server.connection(stream).await;
-                    server.connections.set(server.connections.get() - 1);
+                    tokio::select! {
+                        () = server.connection(stream, &client, full) => {}
+                        () = client.gone.notified() => {}
+                    }
+                    server.clients.borrow_mut().remove(&number);
                 });
             }
             // Out of descriptors, or a client that left in the queue. Waiting lets others close.
@@ -119,46 +157,125 @@
         }
     }
 
-    async fn connection(self: &Rc<Self>, stream: TcpStream) {
+    /// Takes the place of the connection that is of least use, if any may be spared: guards the usual clients
+    /// against those that connect by hundreds, and against idle connections that are kept for good.
+    fn make_room(&self) -> bool {
+        let now = Instant::now();
+        let spared = |client: &Client| {
+            let (phase, since) = client.phase();
+            let (rank, after) = match phase {
+                Phase::Closing => (0, Duration::ZERO),
+                Phase::Silent => (1, SILENT),
+                Phase::Idle => (2, IDLE_SHORT),
+                Phase::Head | Phase::Body => (3, HALF),
+                Phase::Open => return None,
+            };
+            (now - since >= after).then_some((rank, since))
+        };
+        let mut clients = self.clients.borrow_mut();
+        let least = clients.iter().filter_map(|(n, c)| Some((spared(c)?, *n))).min();
+        let gone = least.and_then(|(_, number)| clients.remove(&number));
+        gone.map(|client| client.gone.notify_one()).is_some()
+    }
+
+    /// Closes the connections whose time is over.
+    async fn look(&self) {
+        loop {
+            sleep(LOOK).await;
+            let now = Instant::now();
+            for client in self.clients.borrow().values() {
+                let (phase, since) = client.phase();
+                let over = match phase {
+                    Phase::Silent | Phase::Head => now >= client.limit(),
+                    Phase::Idle => now - since >= IDLE,
+                    // These are bounded where they are awaited.
+                    Phase::Body | Phase::Open | Phase::Closing => false,
+                };
+                if over {
+                    client.gone.notify_one();
+                }
+            }
+        }
+    }
+
+    async fn connection(self: &Rc<Self>, stream: TcpStream, client: &Rc<Client>, full: bool) {
+        // Without it, an answer in two writes would wait for an acknowledgement; failing costs only time.
         let _ = stream.set_nodelay(true);
-        let full = self.connections.get() > self.most;
-        let server = Rc::clone(self);
-        let service = service_fn(move |request| {
-            let server = Rc::clone(&server);
-            async move { Ok::<_, Infallible>(if full { crowded() } else { server.answer(request).await }) }
+        let (read, write) = stream.into_split();
+        let read = Rc::new(RefCell::new(read));
+        let framed = Framed::new(Rc::clone(&read), write, Rc::clone(client));
+        let service = service_fn(|request| async move {
+            let open = Open::new(client, &self.requests);
+            let reply = self.answer(request, client, full).await;
+            Ok::<_, Infallible>(reply.map(|body| Answering::new(body, open)))
         });
         let mut leaving = self.leaving.subscribe();
-        let connection = http1::Builder::new()
-            .keep_alive(!full)
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD)
-            .max_buf_size(MOST_BUFFER)
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(connection);
-        // How a client's connection ends is the client's affair; requests in it have told the exchange.
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            _ = leaving.wait_for(|l| *l) => connection.as_mut().graceful_shutdown(),
+        {
+            let connection = http1::Builder::new()
+                .keep_alive(!full)
+                .header_read_timeout(None)
+                .max_buf_size(MOST_HEAD)
+                .serve_connection(TokioIo::new(framed), service);
+            tokio::pin!(connection);
+            // How a client's connection ends is the client's affair; requests in it have told the exchange.
+            tokio::select! {
+                _ = connection.as_mut() => {}
+                _ = leaving.wait_for(|l| *l) => {
+                    connection.as_mut().graceful_shutdown();
+                    let _ = connection.await;
+                }
+            }
+        }
+        client.enter(Phase::Closing);
+        let until = (client.came() + DRAIN).max(Instant::now() + DRAIN_QUIET);
+        // hyper has let go of its part; what is left is this one.
+        if let Ok(read) = Rc::try_unwrap(read) {
+            let _ = timeout_at(until, self.drain(read.into_inner())).await;
         }
-        let _ = connection.await;
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Reply {
-        let _counted = Counted::one(&self.requests);
+    /// Drops what still comes, until the client ends the connection or stops sending.
+    async fn drain(&self, read: OwnedReadHalf) {
+        while let Ok(Ok(())) = timeout(DRAIN_QUIET, read.readable()).await {
+            match read.try_read(&mut self.dropped.borrow_mut()) {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(why) if why.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>, client: &Rc<Client>, full: bool) -> Reply {
+        if full {
+            return crowded();
+        }
+        let (head, body) = request.into_parts();
+        let body = match client.fault() {
+            Some(fault) => Err(fault),
+            None => read_body(body, client.limit()).await,
+        };
+        // Whether something stands behind the request is known once it is whole.
+        let body = client.fault().map_or(body, Err);
+        let spoilt = body.is_err();
+        client.enter(Phase::Open);
         let leaving = *self.leaving.borrow();
-        self.handler.answer(request, leaving).await
+        let reply = self.handler.answer(Request::from_parts(head, body), leaving).await;
+        if spoilt || client.last() {
+            closing(reply)
+        } else {
+            reply
+        }
     }
 }
 
-/// Reads a body up to the cap.
-///
-/// # Errors
-/// 413 where it is too large, 400 where it breaks off, 408 where it does not come.
-pub async fn read_body(body: Incoming) -> Result<Bytes, StatusCode> {
+/// Reads a body up to the cap: 413 where it is too large, 400 where it breaks off, 408 where it does not come.
+async fn read_body(body: Incoming, until: Instant) -> Result<Bytes, StatusCode> {
     if body.size_hint().lower() > MOST_BODY as u64 {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let body = timeout(BODY, Limited::new(body, MOST_BODY).collect()).await;
+    let body = timeout_at(until, Limited::new(body, MOST_BODY).collect()).await;
     body.map_err(|_| StatusCode::REQUEST_TIMEOUT)?.map(|b| b.to_bytes()).map_err(|why| match why
         .downcast_ref::<LengthLimitError>(
     ) {
@@ -167,22 +284,6 @@
     })
 }
 
-/// Counts while it lives.
-struct Counted<'a>(&'a Cell<usize>);
-
-impl<'a> Counted<'a> {
-    fn one(count: &'a Cell<usize>) -> Self {
-        count.set(count.get() + 1);
-        Counted(count)
-    }
-}
-
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// A short plain answer.
 pub fn plain(status: StatusCode, why: &'static str) -> Reply {
     let mut reply = Response::new(Either::Left(Full::new(Bytes::from_static(why.as_bytes()))));
@@ -190,8 +291,8 @@
     reply
 }
 
-/// Ends the connection after this answer, where the rest of a request was not read.
-pub fn closing(mut reply: Reply) -> Reply {
+/// Ends the connection after this answer.
+fn closing(mut reply: Reply) -> Reply {
     reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     reply
 }
--- a/src/object/mod.rs
+++ b/src/object/mod.rs
@@ -19,16 +19,15 @@
 
 use bytes::Bytes;
 use http_body_util::{Either, Full};
-use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, ETAG, RETRY_AFTER};
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Method, Response, StatusCode, Uri};
 use percent_encoding::{percent_decode_str, utf8_percent_encode, NON_ALPHANUMERIC};
 
 use crate::exchange::{Exchange, Final};
 use crate::front::{assemble, on_one_thread, reload, stop};
 use crate::interface;
 use crate::interface::CellId;
-use crate::listener::{closing, listen, plain, read_body, Handler, Listener, Reply};
+use crate::listener::{listen, plain, Handler, Listener, Reply, Taken};
 use crate::settings::Res;
 use crate::upstream::{Accepts, Answer, Payload, Upstream};
 
@@ -138,7 +137,7 @@
 }
 
 impl Handler for ObjectFront {
-    async fn answer(&self, request: Request<Incoming>, leaving: bool) -> Reply {
+    async fn answer(&self, request: Taken, leaving: bool) -> Reply {
         let (method, path) = (request.method().clone(), request.uri().path().to_owned());
         match (&method, path.as_str()) {
             (&Method::GET, "/health/ready") if leaving => {
@@ -177,16 +176,16 @@
 }
 
 impl Front {
-    async fn serve(self: &Rc<Self>, request: Request<Incoming>) -> Result<Reply, Fault> {
+    async fn serve(self: &Rc<Self>, request: Taken) -> Result<Reply, Fault> {
         let (head, body) = request.into_parts();
-        let body = read_body(body).await.map_err(|status| match status {
+        let body = body.map_err(|status| match status {
             StatusCode::PAYLOAD_TOO_LARGE => {
                 said(StatusCode::BAD_REQUEST, "EntityTooLarge", "A body holds at most 64 KiB; send parts.")
             }
             StatusCode::REQUEST_TIMEOUT => {
                 said(StatusCode::BAD_REQUEST, "RequestTimeout", "The body does not come.")
             }
-            _ => said(StatusCode::BAD_REQUEST, "IncompleteBody", "The body breaks off."),
+            _ => said(StatusCode::BAD_REQUEST, "IncompleteBody", "The body breaks off, or does not fit."),
         })?;
         let asked = self.read(&head.method, &head.uri, head.headers)?;
         let has = |name: &str| asked.query.contains_key(name);
@@ -391,10 +390,6 @@
         if head {
             *reply.body_mut() = Either::Left(Full::default());
         }
-        if ["EntityTooLarge", "IncompleteBody", "RequestTimeout"].contains(&code.as_str()) {
-            // The rest of the request was not read.
-            reply = closing(reply);
-        }
         reply
     }
 }
--- a/src/server.rs
+++ b/src/server.rs
@@ -3,14 +3,13 @@
 use std::rc::Rc;
 
 use http_body_util::{Either, Full};
-use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, COOKIE};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Response, StatusCode};
 
 use crate::exchange::{Exchange, Final};
 use crate::interface;
 use crate::interface::{CellId, Nanos};
-use crate::listener::{closing, plain, read_body, refused, Handler, Reply};
+use crate::listener::{plain, refused, Handler, Reply, Taken};
 use crate::upstream::{Accepts, Payload, Upstream};
 
 /// The names that requests use, in the order of the settings.
@@ -30,7 +29,7 @@
 }
 
 impl Handler for Server {
-    async fn answer(&self, request: Request<Incoming>, leaving: bool) -> Reply {
+    async fn answer(&self, request: Taken, leaving: bool) -> Reply {
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/health/ready") if leaving => plain(StatusCode::SERVICE_UNAVAILABLE, "leaving"),
             (&Method::GET, "/health/ready" | "/health/live") => plain(StatusCode::OK, "ok"),
@@ -40,9 +39,9 @@
 }
 
 impl Server {
-    async fn pass(&self, request: Request<Incoming>) -> Result<Reply, Reply> {
+    async fn pass(&self, request: Taken) -> Result<Reply, Reply> {
         let (head, body) = request.into_parts();
-        let body = read_body(body).await.map_err(|status| closing(plain(status, "the body is not taken")))?;
+        let body = body.map_err(|status| plain(status, "the request is not taken"))?;
         let taken = self.names.read(&head.headers);
         let (id, request) = taken.map_err(|why| plain(StatusCode::BAD_REQUEST, why))?;
         let (headers, accepts) = (HeaderMap::new(), Accepts::Served);
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -107,6 +107,43 @@
         send s0 200 | well
         expect c5";
 
+    connections_that_say_nothing_cost_nobody_a_place: Platform, 1, "
+        crowd 300
+        send c1 GET /api
+        expect s0
+        send s0 200 | well
+        expect c1
+        expect crowd";
+
+    requests_framed_in_doubt_are_refused_and_nothing_behind_them_passes: Platform, 1, "
+        send c1 raw PUT /api HTTP/1.1\\r\\nContent-Length: 4\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n0\\r\\n\\r\\nGET /hidden HTTP/1.1\\r\\n\\r\\n
+        expect c1
+        expect c1
+        send c2 PUT /api X-Lane:form-submit Content-Length:4 | half
+        expect c2
+        send c3 PUT /api X-Lane:form-submit Content-Length:-4 | half
+        expect c3
+        send c4 raw PUT /api HTTP/1.1\\r\\nContent-Length: 4\\r\\n\\r\\nhalf and more
+        expect c4
+        expect c4
+        send c5 raw GET /api HTTP/1.1\\r\\n\\r\\nGET /hidden HTTP/1.1\\r\\n\\r\\n
+        expect c5
+        expect c5
+        send c6 GET /api
+        expect s0
+        send s0 200 | well
+        expect c6";
+
+    an_error_reaches_a_client_that_still_writes: Platform, 1, "
+        send c1 PUT /api X-Lane:form-submit | *60000000
+        expect c1";
+
+    half_a_request_is_ended_in_time: Platform, 1, "
+        send c1 raw GET /api HTTP/1.1\\r\\nX-Lane: form
+        send c2 raw PUT /api HTTP/1.1\\r\\nContent-Length: 12\\r\\n\\r\\nhalf
+        expect c1
+        expect c2";
+
     a_draining_server_gets_nothing_new: Platform, 2, "
         expect d
         send c1 GET /api shard:0
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -4,6 +4,7 @@
 //! - `send c1 GET /path Name:value .. | body`: a request (`shard:0` and the like make X-IO; `raw` sends bytes)
 //! - `expect s0`: the next request at the server; `expect c1`: the next answer at the client
 //! - `send s0 200 Name:value .. | body`: answers the oldest request that the server holds (`part` breaks off)
+//! - `crowd 300`: so many connections that say nothing; `expect crowd`: the front has closed them all
 //! - `expect d`, `send d Ready 0`: a watch, and a change on it
 //! - `reload`: SIGHUP, with discovery elsewhere in the new file; `reload TEXT`: with that as the file
 //! - `close c1`: closes a client, a server's oldest request, discovery's watch, the front's log; `close front`: SIGTERM
@@ -68,6 +69,7 @@
     folder: PathBuf,
     clients: HashMap<String, Wire>,
     asked: HashMap<String, String>,
+    crowd: Vec<Wire>,
     servers: Vec<Server>,
     discovery: TcpListener,
     config: String,
@@ -134,6 +136,7 @@
             folder,
             clients: HashMap::new(),
             asked: HashMap::new(),
+            crowd: Vec::new(),
             servers,
             discovery,
             config,
@@ -165,6 +168,15 @@
                 wire.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                 self.watch = Some(wire);
             }
+            ("crowd", count, _) => {
+                let connect = |_| Wire::new(TcpStream::connect(self.address).expect("it takes connections"));
+                self.crowd = (0..count.parse().expect("a number")).map(connect).collect();
+            }
+            ("expect", "crowd", _) => {
+                let closed = self.crowd.drain(..).filter_map(|mut w| w.message(false).err());
+                let timely = closed.filter(|e| e.kind() != ErrorKind::WouldBlock).count();
+                let _ = writeln!(self.seen, "crowd: {timely} closed");
+            }
             ("expect", _, Some(at)) => {
                 let asked = self.arrives(at);
                 self.keep(&format!("{who} < "), &asked);
