Refuse at the front what no chunk server can use, and ids that are open here

Now X-Txn, the volume and the block must be of 16 hex digits, sizes, shards and hosts within the settings, the method that of the class, a read without a body and with a shard, and a field that comes twice is none. An id that is open here gets 409.

New scenario for the open id, the bad input scenario grew; both fail without the change.

--- a/src/front.rs
+++ b/src/front.rs
@@ -45,8 +45,15 @@
     let moved = reload(config.discovery, Config::moved_discovery)?;
     let listener = listen(config.listen).await?;
     let (exchange, side) = assemble(&config, moved)?;
-    let names = Names { classes: config.classes, plans: config.plans };
-    Listener::new(Server { exchange, names }, side).serve(listener, stop).await;
+    let names = Names {
+        classes: config.classes,
+        writes: config.settings.classes.iter().map(|c| c.writes).collect(),
+        plans: config.plans,
+        shards: config.shards,
+        fronts: config.settings.initiators,
+        most_units: config.settings.most_units,
+    };
+    Listener::new(Server::new(exchange, names), side).serve(listener, stop).await;
     Ok(())
 }
 
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -86,11 +86,27 @@
         expect c1
         send c1 GET /api X-Remaining:-5m
         expect c1
-        send c1 GET /api X-IO:volume=zz,units=1
+        send c1 GET /api X-IO:volume=zz,units=1,shard=0,hosts=1
         expect c1
-        send c1 GET /api X-IO:volume=1,units=NaN
+        send c1 GET /api X-IO:volume=00000003b4d60021,units=NaN,shard=0,hosts=1
         expect c1
-        send c1 GET /api X-IO:volume=1,units=1,shard=-7
+        send c1 GET /api X-IO:volume=00000003b4d60021,units=7,shard=0,hosts=1
+        expect c1
+        send c1 GET /api shard:-7
+        expect c1
+        send c1 GET /api shard:1
+        expect c1
+        send c1 GET /api shard:-1
+        expect c1
+        send c1 GET /api X-IO:volume=00000003b4d60021,units=1,shard=0,hosts=9
+        expect c1
+        send c1 GET /api X-Txn:+000000000000001
+        expect c1
+        send c1 GET /api X-Txn:1
+        expect c1
+        send c1 PUT /api | form
+        expect c1
+        send c1 GET /api | form
         expect c1
         send c1 GET /api Cookie:block=none
         expect c1
@@ -107,6 +123,18 @@
         send s0 200 | well
         expect c5";
 
+    the_id_of_an_open_request_is_refused: Platform, 1, "
+        send c1 GET /api X-Txn:00000000000000aa
+        expect s0
+        send c2 GET /api X-Txn:00000000000000aa
+        expect c2
+        send s0 200 | for the first
+        expect c1
+        send c2 GET /api X-Txn:00000000000000aa
+        expect s0
+        send s0 200 | for the second
+        expect c2";
+
     connections_that_say_nothing_cost_nobody_a_place: Platform, 1, "
         crowd 300
         send c1 GET /api
