Take no answer framed in doubt, and look at pooled connections before reuse

Wrong in upstream.rs: a head could grow to hyper's 400 KB; an answer ended only by closing was served; Content-Length beside Transfer-Encoding was settled in silence; 3 GB was read until 64 KiB had come; an answer that stopped half way held its attempt until the client's time was over, and the module took the node for silent; only the first of several figures was looked at; bytes that reached the socket before the runtime heard of them became the next request's answer.

Now such answers are failed attempts that may have run, at once, or 100 ms after an answer's first byte where the rest does not come (1xx start that time anew). A connection must be open with nothing on it, by a look at the socket, before it goes back and before it is used. An answer to a request that has not gone out whole is none.

--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -4,26 +4,41 @@
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::os::fd::AsRawFd;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{handshake, SendRequest};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::ext::on_informational;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
+use nix::errno::Errno;
+use nix::sys::socket::{recv, MsgFlags};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
+use tokio::sync::Notify;
+use tokio::task::{yield_now, JoinHandle};
+use tokio::time::sleep;
 
 use crate::exchange::{Ended, Transport};
 use crate::interface::{CellId, NodeId, Outcome};
 
 /// The most bytes of a body, either way.
 pub const MOST_BODY: usize = 64 * 1024;
+/// Bytes that a connection holds of what it reads: a head past it has no end that matters.
+const MOST_BUFFER: usize = 32 * 1024;
+/// From an answer's first byte to its last. A server has an answer whole before it sends it; where the rest does
+/// not come, waiting until the client's time is over would leave none for another attempt. Shorter than what the
+/// module takes for silence of the node, which this is not.
+const STALLED: Duration = Duration::from_millis(100);
 const HOST_NAME: HeaderValue = HeaderValue::from_static("chunk.internal");
 const ID: HeaderName = HeaderName::from_static("x-txn");
 const REMAINING: HeaderName = HeaderName::from_static("x-remaining");
@@ -179,7 +194,7 @@
         let mut nodes = self.nodes.borrow_mut();
         let idle = &mut nodes.list.get_mut(node)?.idle;
         while let Some(conn) = idle.pop() {
-            if !conn.sender.is_closed() && conn.since.elapsed() < self.idle {
+            if conn.is_quiet() && conn.since.elapsed() < self.idle {
                 return Some(conn);
             }
         }
@@ -188,7 +203,7 @@
 
     fn keep(&self, node: NodeId, mut conn: Conn, answer: Ended<Answer>) -> Ended<Answer> {
         if let Some(member) = self.nodes.borrow_mut().list.get_mut(node) {
-            if member.address == conn.address && !conn.sender.is_closed() {
+            if member.address == conn.address && conn.is_quiet() {
                 conn.since = Instant::now();
                 member.idle.push(conn);
             }
@@ -218,13 +233,15 @@
         // Without it, a request in two writes would wait for an acknowledgement; failing costs only time.
         let _ = stream.set_nodelay(true);
         let written = Rc::new(Written::default());
+        let socket = stream.as_raw_fd();
         let io = TokioIo::new(Watched { stream, written: Rc::clone(&written) });
-        let (sender, connection) = handshake(io).await.map_err(|_| Outcome::Refused)?;
+        let handshake = Builder::new().max_buf_size(MOST_BUFFER).handshake(io).await;
+        let (sender, connection) = handshake.map_err(|_| Outcome::Refused)?;
         let task = tokio::task::spawn_local(async move {
             // How a connection ends shows in the attempt that it carries.
             let _ = connection.await;
         });
-        Ok(Conn { sender, task, written, address, cell, since: Instant::now(), _place: table })
+        Ok(Conn { sender, task, socket, written, address, cell, since: Instant::now(), _place: table })
     }
 
     async fn send(
@@ -244,23 +261,59 @@
         if let Ok(left) = HeaderValue::try_from(format!("{left}u")) {
             headers.insert(REMAINING, left);
         }
-        conn.written.expect(payload.body.len());
-        let answer = conn.sender.send_request(request).await;
-        let response = answer.map_err(|_| conn.written.broken())?;
-        let (outcome, seen_use, foreign_units) = read_head(&response, payload.accepts);
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, MOST_BODY).collect().await;
-        let body = body.map_err(|_| Broken::MayHaveRun)?.to_bytes();
-        let answer = (outcome == Outcome::Done).then_some(Answer {
-            cell: conn.cell,
-            status: head.status,
-            headers: head.headers,
-            body,
+        let (written, cell) = (Rc::clone(&conn.written), conn.cell);
+        written.expect(payload.body.len());
+        // What comes ahead of an answer is none of it.
+        let answers = Arc::clone(&written.answers);
+        on_informational(&mut request, move |_| {
+            answers.fetch_add(1, Ordering::Relaxed);
         });
-        Ok(Ended { outcome, answer, seen_use, foreign_units })
+        let answer = async {
+            let response = conn.sender.send_request(request).await.map_err(|_| written.broken())?;
+            // An answer to a request that has not gone out whole is an answer to something else.
+            match written.broken() {
+                Broken::MayHaveRun => whole(response, payload.accepts, cell).await,
+                unsent => Err(unsent),
+            }
+        };
+        let mut answer = pin!(answer);
+        tokio::select! {
+            biased;
+            answer = answer.as_mut() => answer,
+            () = written.stalled() => Err(written.broken()),
+        }
     }
 }
 
+/// An answer with its body. Whatever is not framed beyond doubt and within bounds is spoilt: it may have run, and
+/// there is no answer to pass on.
+async fn whole(
+    response: Response<Incoming>,
+    accepts: Accepts,
+    cell: CellId,
+) -> Result<Ended<Answer>, Broken> {
+    let headers = response.headers();
+    let (sized, coded) = (headers.contains_key(CONTENT_LENGTH), headers.contains_key(TRANSFER_ENCODING));
+    let size = response.body().size_hint();
+    // A body that only the connection's end would end may lack its rest, and nobody could tell.
+    let endless = size.exact().is_none() && !coded;
+    if response.status().is_informational() || (sized && coded) || endless || size.lower() > MOST_BODY as u64
+    {
+        return Err(Broken::MayHaveRun);
+    }
+    let (outcome, seen_use, foreign_units) = read_head(&response, accepts);
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MOST_BODY).collect().await;
+    let body = body.map_err(|_| Broken::MayHaveRun)?.to_bytes();
+    let answer = (outcome == Outcome::Done).then_some(Answer {
+        cell,
+        status: head.status,
+        headers: head.headers,
+        body,
+    });
+    Ok(Ended { outcome, answer, seen_use, foreign_units })
+}
+
 /// The table of outcomes, for what came back.
 fn read_head<B>(response: &Response<B>, accepts: Accepts) -> (Outcome, f64, f64) {
     let headers = response.headers();
@@ -280,8 +333,10 @@
     (outcome, used, number(headers, &SERVED_ELSEWHERE).unwrap_or(0.0))
 }
 
+/// The first figure that can be read, if any: what cannot is passed over alone.
 fn number(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
-    headers.get(name)?.to_str().ok()?.trim().parse().ok().filter(|n: &f64| n.is_finite())
+    let told = headers.get_all(name).iter().filter_map(|v| v.to_str().ok()?.trim().parse().ok());
+    told.into_iter().find(|n: &f64| n.is_finite() && *n >= 0.0)
 }
 
 /// Why no answer came.
@@ -307,6 +362,8 @@
 struct Conn {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    /// Lives as long as the task does, and that as long as the sender is not closed.
+    socket: i32,
     written: Rc<Written>,
     address: SocketAddr,
     cell: CellId,
@@ -314,6 +371,16 @@
     _place: Place,
 }
 
+impl Conn {
+    /// Open, with nothing on it: bytes that came unasked would be taken for the next request's answer.
+    fn is_quiet(&self) -> bool {
+        let peek = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
+        !self.sender.is_closed()
+            && !self.task.is_finished()
+            && recv(self.socket, &mut [0], peek) == Err(Errno::EAGAIN)
+    }
+}
+
 impl Drop for Conn {
     fn drop(&mut self) {
         self.task.abort();
@@ -344,6 +411,11 @@
     /// Bytes matched of the empty line that ends the head.
     matched: Cell<usize>,
     body_left: Cell<usize>,
+    /// Answers begun on this connection, those ahead of the last one included.
+    answers: Arc<AtomicU64>,
+    /// The one that a byte has come of last, and the news of its first.
+    heard: Cell<u64>,
+    came: Notify,
 }
 
 const HEAD_END: &[u8; 4] = b"\r\n\r\n";
@@ -353,6 +425,30 @@
         self.begun.set(false);
         self.matched.set(0);
         self.body_left.set(body);
+        self.answers.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn heard(&self) {
+        let answer = self.answers.load(Ordering::Relaxed);
+        if self.heard.replace(answer) != answer {
+            self.came.notify_one();
+        }
+    }
+
+    /// Returns when an answer has begun and does not end.
+    async fn stalled(&self) {
+        loop {
+            self.came.notified().await;
+            let answer = self.heard.get();
+            if self.answers.load(Ordering::Relaxed) == answer {
+                sleep(STALLED).await;
+                // If it was this process that stood still, what has come meanwhile is read first.
+                yield_now().await;
+                if self.answers.load(Ordering::Relaxed) == answer {
+                    return;
+                }
+            }
+        }
     }
 
     fn wrote(&self, bytes: &[u8]) {
@@ -391,7 +487,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let done = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.written.heard();
+        }
+        done
     }
 }
 
@@ -416,3 +517,50 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io::{Read, Write};
+    use std::net::TcpListener;
+
+    use super::*;
+
+    /// The bytes lie in the socket before the runtime has heard of them, so only a look at the socket itself
+    /// tells, at the moment of reuse.
+    #[test]
+    fn bytes_that_wait_at_reuse_are_no_answer() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let served = tokio::task::LocalSet::new().block_on(&runtime, async {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            let upstream = Upstream::new(Duration::from_secs(1), Duration::from_secs(30), 8);
+            let node = upstream.locate("s-0", listener.local_addr().expect("bound"), 0);
+            let payload = Rc::new(Payload {
+                method: Method::GET,
+                target: Uri::from_static("/api"),
+                id: HeaderValue::from_static("0000000000000001"),
+                headers: HeaderMap::new(),
+                body: Bytes::new(),
+                accepts: Accepts::Served,
+            });
+            let until = Instant::now() + Duration::from_secs(10);
+            let say = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{body}");
+            let answering = |listener: TcpListener, body: &'static str| {
+                std::thread::spawn(move || {
+                    let mut stream = listener.accept().expect("a connection").0;
+                    let _ = stream.read(&mut [0; 4096]).expect("a request");
+                    stream.write_all(say(body).as_bytes()).expect("written");
+                    stream
+                })
+            };
+            let server = answering(listener.try_clone().expect("another handle"), "good");
+            let first = upstream.attempt(node, Rc::clone(&payload), until).await;
+            let mut stream = server.join().expect("it answered");
+            stream.write_all(say("copy").as_bytes()).expect("written");
+            let server = answering(listener, "well");
+            let second = upstream.attempt(node, payload, until).await;
+            drop(server);
+            [first, second].map(|e| e.answer.map(|a| a.body))
+        });
+        assert_eq!(served, [Some(Bytes::from_static(b"good")), Some(Bytes::from_static(b"well"))]);
+    }
+}
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -172,6 +172,57 @@
         expect c1
         expect c2";
 
+    a_spoilt_answer_is_a_failed_attempt_and_a_good_one_is_served: Platform, 1, "
+        send c1 GET /api
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\n\\r\\nended only by closing
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\nContent-Length: 3000000000\\r\\n\\r\\nand more
+        expect s0
+        send s0 200 | the third
+        expect c1
+        send c1 PUT /api X-Lane:form-submit | form
+        expect s0
+        send s0 raw ICY 200 OK\\r\\nContent-Length: 4\\r\\n\\r\\nwell
+        expect c1";
+
+    an_answer_that_does_not_end_leaves_time_for_another_attempt: Platform, 1, "
+        send c1 GET /api
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\nContent-Length: 12\\r\\n\\r\\nhalf of
+        expect s0
+        send s0 200 | the second
+        expect c1
+        send c1 GET /api
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\nX-Pad: and so on
+        expect s0
+        send s0 200 | the second
+        expect c1";
+
+    what_comes_ahead_of_an_answer_or_behind_it_is_none_of_it: Platform, 1, "
+        send c1 GET /api
+        expect s0
+        send s0 raw HTTP/1.1 101 Switching\\r\\nUpgrade: x\\r\\n\\r\\n
+        expect s0
+        send s0 raw HTTP/1.1 103 Early\\r\\n\\r\\nHTTP/1.1 200 OK\\r\\nContent-Length: 4\\r\\nX-Volume-Use: {\\r\\n\\r\\nwellHTTP/1.1 200 OK\\r\\nContent-Length: 4\\r\\n\\r\\ncopy
+        expect c1
+        send c1 GET /api
+        expect s0
+        send s0 200 | its own
+        expect c1";
+
+    what_comes_unasked_is_not_the_next_answer: Platform, 1, "
+        send c1 GET /api
+        expect s0
+        send s0 200 | first
+        expect c1
+        send s0 unasked HTTP/1.1 200 OK\\r\\nContent-Length: 4\\r\\n\\r\\ncopy
+        send c1 GET /api
+        expect s0
+        send s0 200 | second
+        expect c1";
+
     a_draining_server_gets_nothing_new: Platform, 2, "
         expect d
         send c1 GET /api shard:0
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! - `send c1 GET /path Name:value .. | body`: a request (`shard:0` and the like make X-IO; `raw` sends bytes)
 //! - `expect s0`: the next request at the server; `expect c1`: the next answer at the client
-//! - `send s0 200 Name:value .. | body`: answers the oldest request that the server holds (`part` breaks off)
+//! - `send s0 200 Name:value .. | body`: answers the oldest request that the server holds (`part` breaks off; `raw`
+//!   sends bytes, and nothing more comes on that connection; `unasked` sends them where nothing waits)
 //! - `crowd 300`: so many connections that say nothing; `expect crowd`: the front has closed them all
 //! - `expect d`, `send d Ready 0`: a watch, and a change on it
 //! - `reload`: SIGHUP, with discovery elsewhere in the new file; `reload TEXT`: with that as the file
@@ -48,6 +49,8 @@
     listener: TcpListener,
     open: Vec<Wire>,
     held: VecDeque<Wire>,
+    /// Kept open, and of no further use.
+    spoilt: Vec<Wire>,
 }
 
 struct Wire {
@@ -94,7 +97,7 @@
     pub fn new(kind: Front, servers: usize) -> World {
         let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
         let servers: Vec<Server> = (0..servers)
-            .map(|_| Server { listener: bind(), open: Vec::new(), held: VecDeque::new() })
+            .map(|_| Server { listener: bind(), open: Vec::new(), held: VecDeque::new(), spoilt: Vec::new() })
             .collect();
         let discovery = bind();
         let folder = std::env::temp_dir().join(format!(
@@ -293,6 +296,18 @@
     }
 
     fn answer(&mut self, at: usize, rest: &str) {
+        let bytes = |raw: &str| raw.replace("\\r", "\r").replace("\\n", "\n").into_bytes();
+        let server = &mut self.servers[at];
+        if let Some(raw) = rest.strip_prefix("raw ") {
+            let mut wire = server.held.pop_front().expect("a request to answer");
+            wire.write(&bytes(raw));
+            server.spoilt.push(wire);
+            return;
+        }
+        if let Some(raw) = rest.strip_prefix("unasked ") {
+            server.open.iter_mut().for_each(|wire| wire.write(&bytes(raw)));
+            return;
+        }
         let (line, body) = rest.split_once(" | ").unwrap_or((rest, ""));
         let body = spelled(body);
         let mut words = line.split(' ').peekable();
