Learn patience only from those that wait long; forget nodes that are gone

Now the rate is the part that leaves at about that age (within a factor of 2) of those that wait so long; a client that stays for an answer of whichever kind counts against it; and the threshold is 0.3. Patience that shrinks for all is still learned (the older test holds); clients that leave at random moments say nothing.

The same change forgets a node that is gone once nothing is out to it (state.rs, upstream.rs kept every id ever seen); a number is never given twice.

Both new tests fail without the change.

--- a/src/bin/tulipbridge-adapter/wire.rs
+++ b/src/bin/tulipbridge-adapter/wire.rs
@@ -65,7 +65,7 @@
             let mut actions = Vec::new();
             instance.scheduler.handle(now, event, &mut actions);
             for action in actions {
-                reply.push(instance.write(index, action));
+                reply.extend(instance.write(index, action));
             }
         }
         Ok(())
@@ -222,8 +222,8 @@
         }
     }
 
-    fn write(&mut self, index: i64, action: Action) -> Value {
-        match action {
+    fn write(&mut self, index: i64, action: Action) -> Option<Value> {
+        Some(match action {
             Action::Place { id, node, patience } => {
                 let live = self.live.get_mut(&id);
                 let name = live.map(|l| {
@@ -248,7 +248,9 @@
                 let target = self.nodes.get(node).map_or("", String::as_str);
                 json!(["NoteDown", index, format!("{text} {target}")])
             }
-        }
+            // A name keeps its number here, as the wire may name it again.
+            Action::Forget(_) => return None,
+        })
     }
 }
 
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -67,6 +67,9 @@
     /// What operators call a node.
     fn name(&self, node: NodeId) -> String;
 
+    /// A node is gone and nothing is out to it: its connections and its name are of no use.
+    fn forget(&self, node: NodeId);
+
     /// One attempt, sent once at the most. Dropping the future gives the attempt up.
     fn attempt(
         &self,
@@ -189,6 +192,7 @@
                 });
             }
             Action::Subscribe => self.subscribe.notify_one(),
+            Action::Forget(node) => self.transport.forget(node),
             Action::Note { text, node } => log!("{text}: {}", self.transport.name(node)),
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -290,6 +290,8 @@
     },
     /// Subscribe to the node list.
     Subscribe,
+    /// A node is gone and nothing is out to it: nothing is known of it any more.
+    Forget(NodeId),
     /// A line for the operators.
     Note {
         /// The text.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -86,9 +86,11 @@
 /// A request that was never sent is held for this part of its time at the most: a refusal later than that
 /// leaves its client no time for anything else.
 const HOLD_PART: f64 = 0.5;
-/// Smoothing of how often clients leave early, and how often makes it the rule.
+/// Smoothing of how often those clients leave that wait long, and how often makes it the rule.
 const LEFT_ALPHA: f64 = 0.03;
-const LEFT_RATE: f64 = 0.1;
+const LEFT_RATE: f64 = 0.3;
+/// An age within this part of another, either way, is about the same.
+const LEFT_ABOUT: f64 = 0.5;
 /// Admission: memory of its rates, and smoothing of the part that comes to nothing: by count, and over a time
 /// where one initiator sees many attempts a second.
 const ADMIT_MEMORY: f64 = 1e9;
@@ -291,9 +293,10 @@
         }
     }
 
-    /// Clients that leave early: learns, for each class, how often and after how long (leaning to the short
-    /// side). Guards against work done for nobody when patience shrinks, whatever the cause. Could harm the
-    /// few patient ones, which then rank as late.
+    /// Clients that leave early: learns, for each class, after how long (leaning to the short side), and which part
+    /// of those that waited so long left about then. Guards against work done for nobody when patience shrinks,
+    /// whatever the cause. Could harm the few patient ones, which then rank as late. Clients that leave at random
+    /// moments, however many, say nothing of the others' patience.
     fn left(&mut self, id: ReqId) {
         let Some(live) = self.live.get(&id) else { return };
         let age = (self.now - live.since) as f64;
@@ -301,9 +304,19 @@
             return;
         }
         let stay = &mut self.stay[live.req.class];
+        let about = age >= stay.age * LEFT_ABOUT && age * LEFT_ABOUT <= stay.age;
         let alpha = if age < stay.age { 0.1 } else { 0.02 };
         stay.age = smoothed(stay.age, alpha, age);
-        stay.rate += LEFT_ALPHA * (1.0 - stay.rate);
+        stay.rate += LEFT_ALPHA * (f64::from(u8::from(about)) - stay.rate);
+    }
+
+    /// A client has stayed for its answer, whichever it is.
+    fn stayed(&mut self, id: ReqId) {
+        let Some(live) = self.live.get(&id).filter(|l| !l.finished) else { return };
+        let stay = &mut self.stay[live.req.class];
+        if (self.now - live.since) as f64 >= stay.age {
+            stay.rate -= LEFT_ALPHA * stay.rate;
+        }
     }
 
     /// How long clients of a class lately tend to stay, where they leave early.
@@ -580,6 +593,9 @@
     fn on_ended(&mut self, event: &Event, actions: &mut Vec<Action>) {
         let &Event::Ended { id, attempt, node: at, outcome, took, last, .. } = event else { return };
         let ran = !matches!(outcome, Outcome::Busy | Outcome::Refused | Outcome::Skipped);
+        if last {
+            self.stayed(id);
+        }
         let Some((sent, req)) = self.note_end(id, attempt, at, ran, last) else { return };
         let unsure = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Canceled);
         if let Some(line) = req.key.filter(|_| unsure).and_then(|k| self.lines.get_mut(&k)) {
@@ -590,8 +606,6 @@
         }
         if outcome == Outcome::Done {
             self.learn(id, at, took);
-            let stay = &mut self.stay[req.class];
-            stay.rate -= LEFT_ALPHA * stay.rate;
         }
         let counts = matches!(outcome, Outcome::Done | Outcome::Busy | Outcome::TimedOut);
         if counts && !sent.counted && sent.at >= self.nodes[&at].answered_of {
@@ -728,6 +742,7 @@
     /// Gives a request up at once. Refused where a repeat is harmless, failed where it may have run.
     fn end(&mut self, id: ReqId, actions: &mut Vec<Action>) {
         let lot = self.random.f64();
+        self.stayed(id);
         let Some(live) = self.live.get(&id) else { return };
         if live.finished {
             return;
@@ -772,6 +787,7 @@
             self.second_at = self.now;
             self.move_base();
             self.trim(VOLUME_IDLE, self.budget().look_back);
+            actions.extend(self.forget_gone().into_iter().map(Action::Forget));
         }
         self.dispatch_all(actions);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -458,6 +458,23 @@
         }
     }
 
+    /// Drops the nodes that are gone, once nothing is out to them, nothing was sent to them within the cold span
+    /// and no request hangs on one, and gives their numbers. Guards against growth over a long life in which new
+    /// nodes replace old ones.
+    pub(crate) fn forget_gone(&mut self) -> Vec<NodeId> {
+        let hung: Vec<NodeId> = self.live.values().filter_map(|l| Some(l.maybe_ran?.1)).collect();
+        let over = |id: &NodeId, n: &Node| {
+            n.listed == Listed::Removed && n.out.is_empty() && n.cold_sent.is_empty() && !hung.contains(id)
+        };
+        let gone: Vec<NodeId> = self.nodes.iter().filter(|(id, n)| over(id, n)).map(|(id, _)| *id).collect();
+        for id in &gone {
+            if let Some(list) = self.nodes.remove(id).and_then(|n| self.cells.get_mut(&n.cell)) {
+                list.retain(|held| held != id);
+            }
+        }
+        gone
+    }
+
     /// A full list: nodes that are not on it are gone.
     pub(crate) fn drop_unlisted(&mut self, listed: &[NodeInfo]) {
         for (id, node) in &mut self.nodes {
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -100,7 +100,9 @@
 #[derive(Default)]
 struct Nodes {
     ids: HashMap<String, NodeId>,
-    list: Vec<Member>,
+    list: HashMap<NodeId, Member>,
+    /// No number is given twice: what is still out under one must not be taken for another's.
+    next: NodeId,
 }
 
 struct Member {
@@ -124,24 +126,26 @@
     pub fn locate(&self, name: &str, address: SocketAddr, cell: CellId) -> NodeId {
         let mut nodes = self.shared.nodes.borrow_mut();
         if let Some(&id) = nodes.ids.get(name) {
-            let member = &mut nodes.list[id];
-            member.cell = cell;
-            if member.address != address {
-                member.address = address;
-                member.idle.clear();
+            if let Some(member) = nodes.list.get_mut(&id) {
+                member.cell = cell;
+                if member.address != address {
+                    member.address = address;
+                    member.idle.clear();
+                }
             }
             return id;
         }
-        let id = nodes.list.len();
+        let id = nodes.next;
+        nodes.next += 1;
         nodes.ids.insert(name.to_owned(), id);
-        nodes.list.push(Member { name: name.to_owned(), address, cell, idle: Vec::new() });
+        nodes.list.insert(id, Member { name: name.to_owned(), address, cell, idle: Vec::new() });
         id
     }
 
     /// Closes connections that have stood idle for long.
     pub fn sweep(&self) {
         let idle = self.shared.idle;
-        for member in &mut self.shared.nodes.borrow_mut().list {
+        for member in self.shared.nodes.borrow_mut().list.values_mut() {
             member.idle.retain(|c| !c.sender.is_closed() && c.since.elapsed() < idle);
         }
     }
@@ -153,7 +157,14 @@
 
     fn name(&self, node: NodeId) -> String {
         let nodes = self.shared.nodes.borrow();
-        nodes.list.get(node).map_or(String::new(), |m| format!("{} at {}", m.name, m.address))
+        nodes.list.get(&node).map_or(String::new(), |m| format!("{} at {}", m.name, m.address))
+    }
+
+    fn forget(&self, node: NodeId) {
+        let mut nodes = self.shared.nodes.borrow_mut();
+        if let Some(member) = nodes.list.remove(&node) {
+            nodes.ids.remove(&member.name);
+        }
     }
 
     fn attempt(
@@ -192,7 +203,7 @@
 
     fn pooled(&self, node: NodeId) -> Option<Conn> {
         let mut nodes = self.nodes.borrow_mut();
-        let idle = &mut nodes.list.get_mut(node)?.idle;
+        let idle = &mut nodes.list.get_mut(&node)?.idle;
         while let Some(conn) = idle.pop() {
             if conn.is_quiet() && conn.since.elapsed() < self.idle {
                 return Some(conn);
@@ -202,7 +213,7 @@
     }
 
     fn keep(&self, node: NodeId, mut conn: Conn, answer: Ended<Answer>) -> Ended<Answer> {
-        if let Some(member) = self.nodes.borrow_mut().list.get_mut(node) {
+        if let Some(member) = self.nodes.borrow_mut().list.get_mut(&node) {
             if member.address == conn.address && conn.is_quiet() {
                 conn.since = Instant::now();
                 member.idle.push(conn);
@@ -217,12 +228,12 @@
             return true;
         }
         let mut nodes = self.nodes.borrow_mut();
-        let oldest = nodes.list.iter_mut().filter(|m| !m.idle.is_empty()).min_by_key(|m| m.idle[0].since);
+        let oldest = nodes.list.values_mut().filter(|m| !m.idle.is_empty()).min_by_key(|m| m.idle[0].since);
         oldest.map(|m| m.idle.remove(0)).is_some()
     }
 
     async fn dial(self: &Rc<Self>, node: NodeId) -> Result<Conn, Outcome> {
-        let at = self.nodes.borrow().list.get(node).map(|m| (m.address, m.cell));
+        let at = self.nodes.borrow().list.get(&node).map(|m| (m.address, m.cell));
         let (address, cell) = at.ok_or(Outcome::Skipped)?;
         if !self.make_room() {
             return Err(Outcome::Skipped);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -265,6 +265,42 @@
     assert!((200..230).any(|id| refused(&done, id)));
 }
 
+#[test]
+fn clients_that_leave_at_random_moments_say_nothing_of_the_others() {
+    let mut rig = Rig::new(settings(), 1);
+    rig.warm(0, 30, 0, 20 * MS);
+    // Two at a time, each answered well within the aim; of every five, one leaves before.
+    let mut done = Vec::new();
+    for id in (100..300).step_by(2) {
+        for id in [id, id + 1] {
+            done.extend(rig.ask(request(id, 0, Some(0))));
+        }
+        let after = [MS / 2, 4 * MS, 50 * MS, 2 * MS][id as usize / 5 % 4];
+        let leaves = id % 5 == 0;
+        if leaves {
+            rig.now += after;
+            rig.event(Event::Gone(id));
+        }
+        done.extend(rig.pass(60 * MS - if leaves { after } else { 0 }));
+        for id in [id, id + 1] {
+            done.extend(rig.end(id, 0, 0, Outcome::Done, 60 * MS));
+        }
+    }
+    assert!(!(100..300).any(|id| refused(&done, id)), "the aim is far away");
+}
+
+#[test]
+fn a_node_that_is_gone_is_forgotten_once_nothing_is_out_to_it() {
+    let mut rig = Rig::new(settings(), 1);
+    rig.warm(0, 3, 0, 20 * MS);
+    rig.ask(request(100, 0, Some(0)));
+    rig.event(Event::Fleet { scope: Scope::Update, nodes: vec![node(0, Listed::Removed, 0)] });
+    assert!(!rig.pass(5 * S / 10).contains(&Action::Forget(0)), "one is out");
+    rig.end(100, 0, 0, Outcome::Done, 20 * MS);
+    let done = rig.pass(5 * S);
+    assert_eq!(done.iter().filter(|a| **a == Action::Forget(0)).count(), 1);
+}
+
 #[test]
 fn a_lost_subscription_is_asked_for_again() {
     let mut rig = Rig::new(settings(), 1);
