--- a/src/policy.rs
+++ b/src/policy.rs
@@ -294,10 +294,10 @@
         }
     }
 
-    /// Clients that leave early: learns, for each class, after how long (leaning to the short side), and which part
-    /// of those that waited so long left about then. Guards against work done for nobody when patience shrinks,
-    /// whatever the cause. Could harm the few patient ones, which then rank as late. Clients that leave at random
-    /// moments, however many, say nothing of the others' patience.
+    /// Clients that leave early: learns, for each class, after how long (leaning to the short side), and which
+    /// part of those that waited so long left about then. Guards against work done for nobody when patience
+    /// shrinks, whatever the cause. Could harm the few patient ones, which then rank as late. Clients that leave
+    /// at random moments, however many, say nothing of the others' patience.
     fn left(&mut self, id: ReqId) {
         let Some(live) = self.live.get(&id) else { return };
         let age = (self.now - live.since) as f64;
@@ -311,8 +311,8 @@
         stay.rate += LEFT_ALPHA * (f64::from(u8::from(about)) - stay.rate);
     }
 
-    /// Nobody waits for its answer any more: what has not run yet need not. Only where it may run again, lest a
-    /// write be left in doubt. Guards the nodes' time; costs the connection that it is out on.
+    /// Nobody waits for its answer any more: what has not run yet need not. Only where it may run again, lest
+    /// a write be left in doubt. Guards the nodes' time; costs the connection that it is out on.
     fn spare(&mut self, id: ReqId, actions: &mut Vec<Action>) {
         let Some(live) = self.live.get(&id).filter(|l| l.out > 0 && !l.finished && !l.streaming) else {
             return;
