--- a/src/policy.rs
+++ b/src/policy.rs
@@ -294,10 +294,10 @@
         }
     }
 
-    /// Clients that leave early: learns, for each class, after how long (leaning to the short side), and which
-    /// part of those that waited so long left about then. Guards against work done for nobody when patience
-    /// shrinks, whatever the cause. Could harm the few patient ones, which then rank as late. Clients that leave
-    /// at random moments, however many, say nothing of the others' patience.
+    /// Clients that leave early: learns, for each class, after how long (leaning to the short side), and
+    /// which part of those that waited so long left about then. Guards against work done for nobody when
+    /// patience shrinks, whatever the cause. Could harm the few patient ones, which then rank as late.
+    /// Clients that leave at random moments, however many, say nothing of the others' patience.
     fn left(&mut self, id: ReqId) {
         let Some(live) = self.live.get(&id) else { return };
         let age = (self.now - live.since) as f64;
