Let the scenario of a client that leaves fail where its attempt goes on

Seen: with Scheduler::spare taken out the step 'expect s0 left' still passed, since the attempt ended by itself after 2 s. The request now waits for 60 s; the step notes 'false' without the change and 'true' with it.

--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -309,7 +309,7 @@
         send s0 200 | for nobody
         send s0 200 | for the second
         expect c2
-        send c3 GET /api
+        send c3 GET /api X-Remaining:60000m
         expect s0
         close c3
         expect s0 left";
