Begin a workspace: the decision module becomes crates/core, without I/O in its tree

Need: the checker and later subsystems must use the decisions without tokio or hyper in their dependency tree.

--- a/tests/collapse.rs
+++ b/crates/core/tests/collapse.rs
@@ -6,7 +6,7 @@
 use std::collections::VecDeque;
 
 use common::*;
-use tulipbridge::*;
+use tulipbridge_core::*;
 
 const STEP: Nanos = 10 * MS;
 const INITIATORS: usize = 60;
--- a/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A site and a driver for scripted events. Figures are made up for the tests.
 #![allow(dead_code)]
 
-use tulipbridge::*;
+use tulipbridge_core::*;
 
 pub const MS: Nanos = 1_000_000;
 pub const S: Nanos = 1000 * MS;
--- a/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use tulipbridge::*;
+use tulipbridge_core::*;
 
 #[test]
 fn a_try_shorter_than_a_tick_is_answered_at_once() {
--- a/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use common::*;
-use tulipbridge::*;
+use tulipbridge_core::*;
 
 const SLACK: Nanos = 8 * MS;
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -6,8 +6,8 @@
 use simd_json::prelude::*;
 use simd_json::OwnedValue as Value;
 
-use crate::interface::Settings;
 use crate::settings::{names, num, settings, text, Res};
+use tulipbridge_core::Settings;
 
 /// A front's configuration.
 pub struct Config {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -10,9 +10,8 @@
 
 use tokio::sync::{oneshot, watch, Notify};
 
-use crate::interface::*;
 use crate::log::log;
-use crate::state::Scheduler;
+use tulipbridge_core::*;
 
 /// A module that leaves a request unanswered for this long past its deadline is overruled with a failure.
 /// Guards the rule of one final answer against faults of ours; well inside the slack that clients grant.
--- a/src/object/config.rs
+++ b/src/object/config.rs
@@ -6,8 +6,8 @@
 use simd_json::prelude::*;
 
 use crate::config;
-use crate::interface::Semantics;
 use crate::settings::{num, text, Res};
+use tulipbridge_core::Semantics;
 
 /// Bytes of a unit where a bucket does not say.
 const UNIT_BYTES: f64 = 16.0 * 1024.0;
--- a/src/object/mod.rs
+++ b/src/object/mod.rs
@@ -25,11 +25,11 @@
 
 use crate::exchange::{Exchange, Final};
 use crate::front::{assemble, on_one_thread, reload, stop};
-use crate::interface;
-use crate::interface::CellId;
 use crate::listener::{listen, plain, Handler, Listener, Reply, Taken};
 use crate::settings::Res;
 use crate::upstream::{Accepts, Answer, Payload, Upstream};
+use tulipbridge_core as core;
+use tulipbridge_core::CellId;
 
 pub use config::{Bucket, Config};
 
@@ -258,7 +258,7 @@
         let left = asked.until.saturating_duration_since(Instant::now()).min(self.deadlines[step.class]);
         let mut hasher = DefaultHasher::new();
         (&asked.bucket_name, &asked.key).hash(&mut hasher);
-        let request = interface::Request {
+        let request = core::Request {
             id: 0,
             class: step.class,
             plan: asked.bucket.plan,
--- a/src/object/multipart.rs
+++ b/src/object/multipart.rs
@@ -9,7 +9,7 @@
 
 use super::{copy, document, empty, encoded, invalid, no_such_upload, said, xml};
 use super::{Answer, Asked, Fault, Front, Reply, Step, VERSION_ID};
-use crate::interface::CellId;
+use tulipbridge_core::CellId;
 
 /// Where the object keeps the token of the upload that made it.
 const TOKEN: HeaderName = HeaderName::from_static("x-amz-meta-tulipbridge-upload");
--- a/src/object/read.rs
+++ b/src/object/read.rs
@@ -18,8 +18,8 @@
 use super::{
     copy, empty, encoded, not_implemented, said, Answer, Asked, Fault, Front, Reply, Step, VERSION_ID,
 };
-use crate::interface::CellId;
 use crate::upstream::MOST_BODY;
+use tulipbridge_core::CellId;
 
 /// What of a node's answer describes an object, besides the `x-amz-meta-` headers.
 const DESCRIBED: [&str; 8] = [
--- a/src/server.rs
+++ b/src/server.rs
@@ -9,10 +9,10 @@
 use hyper::{Method, Response, StatusCode};
 
 use crate::exchange::{Exchange, Final};
-use crate::interface;
-use crate::interface::{CellId, Nanos};
 use crate::listener::{plain, refused, Handler, Reply, Taken};
 use crate::upstream::{Accepts, Payload, Upstream};
+use tulipbridge_core as core;
+use tulipbridge_core::{CellId, Nanos};
 
 const TXN: &str = "x-txn";
 
@@ -95,7 +95,7 @@
 
 impl Names {
     /// The id and the request in a head.
-    fn read(&self, method: &Method, headers: &HeaderMap) -> Result<(u64, interface::Request), &'static str> {
+    fn read(&self, method: &Method, headers: &HeaderMap) -> Result<(u64, core::Request), &'static str> {
         let text = |name: &str| {
             let mut told = headers.get_all(name).iter();
             // One that comes twice could be read in two ways.
@@ -127,7 +127,7 @@
         if cell < 0 && !writes {
             return Err("'shard' must say where the data lies");
         }
-        let request = interface::Request {
+        let request = core::Request {
             id: 0,
             class,
             plan,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,7 +4,7 @@
 use simd_json::prelude::*;
 use simd_json::OwnedValue as Value;
 
-use crate::interface::*;
+use tulipbridge_core::*;
 
 /// A value, or a plain sentence on what is wrong with the JSON.
 pub type Res<T> = Result<T, String>;
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -29,7 +29,7 @@
 use tokio::time::sleep;
 
 use crate::exchange::{Ended, Transport};
-use crate::interface::{CellId, NodeId, Outcome};
+use tulipbridge_core::{CellId, NodeId, Outcome};
 
 /// The most bytes of a body, either way.
 pub const MOST_BODY: usize = 64 * 1024;
