Learn patience only from clients that waited, and let it fade

Cause: a client that leaves at once counted as one that waits about that long and leaves. After some hundred of them every request was late by the learned patience, so others were refused, and windows narrowed to a pace that only ticks opened; being refused at once, nobody waited long enough to unlearn it. Found beside it: the longest patience ever told counted for all later requests, so one client with an hour made every other a late try.

Change: who leaves before a quarter of the aim teaches nothing; what was learned fades over 20 s; patience counts up to the class's deadline.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -89,6 +89,10 @@
 /// Smoothing of how often those clients leave that wait long, and how often makes it the rule.
 const LEFT_ALPHA: f64 = 0.03;
 const LEFT_RATE: f64 = 0.3;
+/// Without further ones, what was learned of them fades over this time.
+const LEFT_MEMORY: f64 = 2e10;
+/// Who leaves before this part of the aim has not waited for an answer, and says nothing of who does.
+const LEFT_LEAST: f64 = 0.25;
 /// An age within this part of another, either way, is about the same.
 const LEFT_ABOUT: f64 = 0.5;
 /// Admission: memory of its rates, and smoothing of the part that comes to nothing: by count, and over a time
@@ -211,11 +215,12 @@
         let span = self.budget().look_back;
         self.note_taken(span);
         let class = &self.set.classes[req.class];
-        // A later try of a client has less time left; what is gone already counts against the aim.
-        let most = self.most_patience[req.class].max(req.patience);
+        // A later try of a client has less time left; what is gone already counts against the aim. Who would
+        // wait for longer than any client of the class makes nobody else's try a later one.
+        let most = self.most_patience[req.class].max(req.patience.min(class.deadline));
         self.most_patience[req.class] = most;
         let stretch = class.aim_stretch * self.unit_cost[req.class] * req.units;
-        let aim = (class.aim + stretch as Nanos).min(class.deadline) - (most - req.patience);
+        let aim = (class.aim + stretch as Nanos).min(class.deadline) - (most - req.patience).max(0);
         if class.keep_order {
             if let Some(key) = req.key {
                 self.lines.entry(key).or_default().order.push_back(id);
@@ -301,14 +306,15 @@
     fn left(&mut self, id: ReqId) {
         let Some(live) = self.live.get(&id) else { return };
         let age = (self.now - live.since) as f64;
-        if live.finished || self.now >= live.die_at - self.margin() {
+        let waited = age >= self.set.classes[live.req.class].aim as f64 * LEFT_LEAST;
+        if live.finished || !waited || self.now >= live.die_at - self.margin() {
             return;
         }
         let stay = &mut self.stay[live.req.class];
         let about = age >= stay.age * LEFT_ABOUT && age * LEFT_ABOUT <= stay.age;
         let alpha = if age < stay.age { 0.1 } else { 0.02 };
         stay.age = smoothed(stay.age, alpha, age);
-        stay.rate += LEFT_ALPHA * (f64::from(u8::from(about)) - stay.rate);
+        stay.count(self.now, about, LEFT_ALPHA, LEFT_MEMORY);
     }
 
     /// Nobody waits for its answer any more: what has not run yet need not. Only where it may run again, lest
@@ -328,14 +334,14 @@
         let Some(live) = self.live.get(&id).filter(|l| !l.finished) else { return };
         let stay = &mut self.stay[live.req.class];
         if (self.now - live.since) as f64 >= stay.age {
-            stay.rate -= LEFT_ALPHA * stay.rate;
+            stay.count(self.now, false, LEFT_ALPHA, LEFT_MEMORY);
         }
     }
 
     /// How long clients of a class lately tend to stay, where they leave early.
     fn stays(&self, class: usize) -> Nanos {
         let stay = &self.stay[class];
-        if stay.rate < LEFT_RATE {
+        if stay.rate(self.now, LEFT_MEMORY) < LEFT_RATE {
             Nanos::MAX / 4
         } else {
             stay.age as Nanos
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -259,7 +259,22 @@
 #[derive(Default)]
 pub struct Stay {
     pub age: f64,
-    pub rate: f64,
+    rate: f64,
+    at: Nanos,
+}
+
+impl Stay {
+    /// The part of those that wait about so long which leave then, as of now: it fades without news.
+    pub fn rate(&self, now: Nanos, memory: f64) -> f64 {
+        self.rate * (-((now - self.at).max(0) as f64) / memory).exp()
+    }
+
+    /// Counts one that waited so long: it left about then, or it did not.
+    pub fn count(&mut self, now: Nanos, left: bool, alpha: f64, memory: f64) {
+        let rate = self.rate(now, memory);
+        self.rate = rate + alpha * (f64::from(u8::from(left)) - rate);
+        self.at = now;
+    }
 }
 
 /// What this initiator admits, over all nodes.
