Take requests, attempts and connections to nodes out of the async code as machines

Need: the order of what happens to attempts and connections is what breaks rules; it can be explored only where it is decided without I/O.

Change: desk.rs holds requests and attempts up to the one final answer, link.rs a connection to a node, an attempt on it and the pool; the exchange and the upstream only carry out their effects. One hole closed on the way: bytes that came while the request was still being written could pass as its answer once the last byte was out; they spoil the connection now.

--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -141,7 +141,7 @@
 }
 
 /// State of a node by the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Listed {
     /// In service.
     Up,
@@ -152,7 +152,7 @@
 }
 
 /// One entry of the node list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct NodeInfo {
     /// Which node.
     pub node: NodeId,
@@ -167,7 +167,7 @@
 }
 
 /// Kind of a list event.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Scope {
     /// Changed entries only.
     Update,
@@ -203,7 +203,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Outcome {
     /// Served.
     Done,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,8 +33,11 @@
 //! assert!(actions.contains(&Action::Place { id: 1, node: 0, patience: 0 }));
 //! ```
 
+pub mod desk;
 mod interface;
+pub mod link;
 mod policy;
+pub mod seeded;
 mod state;
 
 pub use interface::*;
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -1,6 +1,6 @@
 //! Where the client side and the server side meet, and the only place where they do. It knows requests,
-//! attempts and outcomes, and no wire: a front asks with a payload, a transport carries attempts, and the
-//! decision module in between is fed events in order and has its actions carried out.
+//! attempts and outcomes, and no wire: a front asks with a payload, a transport carries attempts. What becomes of
+//! them is said by [`Desk`], with the decision module in it; here its effects are carried out.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use tokio::sync::{oneshot, watch, Notify};
+use tulipbridge_core::desk::{Desk, Effect, Input, Verdict};
 
 use crate::log::log;
 use tulipbridge_core::*;
@@ -36,6 +37,11 @@
     pub fn now(&self) -> Nanos {
         self.unix + self.began.elapsed().as_nanos() as Nanos
     }
+
+    /// A moment as the runtime counts it.
+    fn instant(&self, at: Nanos) -> Instant {
+        self.began + Duration::from_nanos((at - self.unix).max(0) as u64)
+    }
 }
 
 /// How an attempt ended, and what came back.
@@ -91,19 +97,16 @@
 
 struct Live<T: Transport> {
     payload: Rc<T::Payload>,
-    until: Instant,
-    /// Taken by the final answer, so that there is one.
+    /// Taken by the final answer.
     answer: Option<oneshot::Sender<Final<T::Answer>>>,
-    tries: u32,
-    out: u32,
     /// The attempt that has been given up last.
-    cancelled: watch::Sender<Option<u32>>,
+    stopped: watch::Sender<Option<u32>>,
 }
 
 struct Core<T: Transport> {
-    scheduler: Scheduler,
+    desk: Desk<Scheduler>,
+    /// What the desk's requests carry.
     live: HashMap<ReqId, Live<T>>,
-    next: ReqId,
 }
 
 /// The meeting place. Its methods must be called inside a tokio `LocalSet`.
@@ -121,8 +124,8 @@
     /// When the settings cannot hold.
     pub fn new(settings: Settings, seed: u64, transport: T) -> Result<Rc<Self>, SettingsError> {
         let clock = Clock::start();
-        let scheduler = Scheduler::new(settings, seed, clock.now())?;
-        let core = Core { scheduler, live: HashMap::new(), next: 0 };
+        let desk = Desk::new(Scheduler::new(settings, seed, clock.now())?);
+        let core = Core { desk, live: HashMap::new() };
         Ok(Rc::new(Exchange { core: RefCell::new(core), transport, clock, subscribe: Notify::new() }))
     }
 
@@ -133,7 +136,7 @@
 
     /// Requests not yet answered, or with attempts out.
     pub fn held(&self) -> usize {
-        self.core.borrow().live.len()
+        self.core.borrow().desk.held().len()
     }
 
     /// Returns when the module next wants the node list.
@@ -143,137 +146,101 @@
 
     /// News of the node list.
     pub fn fleet(self: &Rc<Self>, scope: Scope, nodes: Vec<NodeInfo>) {
-        self.feed(Event::Fleet { scope, nodes });
+        self.feed(Input::Fleet { scope, nodes }, None);
     }
 
     /// Takes a request and gives its one final answer. `request.id` is given here. Dropping the future says
     /// that the client has gone.
     pub async fn ask(self: &Rc<Self>, mut request: Request, payload: T::Payload) -> Final<T::Answer> {
         let patience = Duration::from_nanos(request.patience.max(0) as u64);
-        let (sender, answer) = oneshot::channel();
+        let (sender, mut answer) = oneshot::channel();
         {
             let mut core = self.core.borrow_mut();
-            request.id = core.next;
-            core.next += 1;
-            let until = Instant::now() + patience;
-            let payload = Rc::new(payload);
-            let (answer, cancelled) = (Some(sender), watch::Sender::new(None));
-            core.live.insert(request.id, Live { payload, until, answer, tries: 0, out: 0, cancelled });
+            request.id = core.desk.number();
+            let (answer, stopped) = (Some(sender), watch::Sender::new(None));
+            core.live.insert(request.id, Live { payload: Rc::new(payload), answer, stopped });
         }
-        let waiting = Waiting { exchange: self, id: request.id };
-        self.feed(Event::Request(request));
-        let answer = tokio::time::timeout(patience + OVERDUE, answer).await;
-        drop(waiting);
-        match answer {
-            Ok(Ok(answer)) => answer,
-            _ => Final::Failed,
+        let id = request.id;
+        let waiting = Waiting { exchange: self, id };
+        self.feed(Input::Asked(request), None);
+        if let Ok(answer) = tokio::time::timeout(patience + OVERDUE, &mut answer).await {
+            drop(waiting);
+            return answer.unwrap_or(Final::Failed);
         }
+        self.feed(Input::Overdue(id), None);
+        answer.try_recv().unwrap_or(Final::Failed)
     }
 
-    fn feed(self: &Rc<Self>, event: Event) {
-        let mut actions = Vec::new();
-        self.core.borrow_mut().scheduler.handle(self.clock.now(), event, &mut actions);
-        for action in actions {
-            self.carry_out(action);
+    /// Takes what has happened, with the answer that an attempt brought, if any.
+    fn feed(self: &Rc<Self>, input: Input, mut brought: Option<T::Answer>) {
+        let mut effects = Vec::new();
+        self.core.borrow_mut().desk.on(self.clock.now(), input, &mut effects);
+        for effect in effects {
+            self.carry_out(effect, &mut brought);
         }
     }
 
-    /// Nothing in here feeds the module, so events and actions keep their order.
-    fn carry_out(self: &Rc<Self>, action: Action) {
-        match action {
-            Action::Place { id, node, patience } => self.place(id, node, patience),
-            Action::Refuse { id, wait } => {
-                self.answer(id, Final::Refused(Duration::from_nanos(wait.max(0) as u64)));
+    /// Nothing in here feeds the desk, so what happens and what is done about it keep their order.
+    fn carry_out(self: &Rc<Self>, effect: Effect, brought: &mut Option<T::Answer>) {
+        match effect {
+            Effect::Send { id, attempt, node, until } => self.send(id, attempt, node, until),
+            Effect::Stop { id, attempt } => {
+                if let Some(live) = self.core.borrow().live.get(&id) {
+                    live.stopped.send_replace(Some(attempt));
+                }
             }
-            Action::Fail(id) => self.answer(id, Final::Failed),
-            Action::Sleep { after, cookie } => {
+            Effect::Answer { id, verdict } => {
+                let sender = self.core.borrow_mut().live.get_mut(&id).and_then(|l| l.answer.take());
+                let answer = match (verdict, brought.take()) {
+                    (Verdict::Served, Some(answer)) => Final::Served(answer),
+                    (Verdict::Refused(wait), _) => Final::Refused(Duration::from_nanos(wait as u64)),
+                    _ => Final::Failed,
+                };
+                // The client may have left in this very moment.
+                let _ = sender.map(|s| s.send(answer));
+            }
+            Effect::Release(id) => {
+                self.core.borrow_mut().live.remove(&id);
+            }
+            Effect::Sleep { after, cookie } => {
                 let exchange = Rc::clone(self);
                 tokio::task::spawn_local(async move {
                     tokio::time::sleep(Duration::from_nanos(after.max(0) as u64)).await;
-                    exchange.feed(Event::Timer(cookie));
+                    exchange.feed(Input::Timer(cookie), None);
                 });
             }
-            Action::Cancel { id, attempt } => {
-                if let Some(live) = self.core.borrow().live.get(&id) {
-                    live.cancelled.send_replace(Some(attempt));
-                }
-            }
-            Action::Subscribe => self.subscribe.notify_one(),
-            Action::Forget(node) => self.transport.forget(node),
-            Action::Note { text, node } => log!("{text}: {}", self.transport.name(node)),
+            Effect::Subscribe => self.subscribe.notify_one(),
+            Effect::Forget(node) => self.transport.forget(node),
+            Effect::Note { text, node } => log!("{text}: {}", self.transport.name(node)),
         }
     }
 
-    fn place(self: &Rc<Self>, id: ReqId, node: NodeId, patience: Nanos) {
-        let mut core = self.core.borrow_mut();
-        let Some(live) = core.live.get_mut(&id) else { return };
-        let attempt = live.tries;
-        live.tries += 1;
-        live.out += 1;
-        let now = Instant::now();
-        let until = match patience {
-            0 => live.until,
-            some => live.until.min(now + Duration::from_nanos(some.max(0) as u64)),
+    /// Starts an attempt, which ends by itself, when its time is over or when it is given up, whichever is first.
+    fn send(self: &Rc<Self>, id: ReqId, attempt: u32, node: NodeId, until: Nanos) {
+        let until = self.clock.instant(until);
+        let (carried, mut stopped) = {
+            let core = self.core.borrow();
+            let Some(live) = core.live.get(&id) else { return };
+            (self.transport.attempt(node, Rc::clone(&live.payload), until), live.stopped.subscribe())
         };
-        let carried = self.transport.attempt(node, Rc::clone(&live.payload), until);
-        let mut cancelled = live.cancelled.subscribe();
         let exchange = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            let ended = tokio::select! {
+            let (input, brought) = tokio::select! {
                 biased;
-                ended = tokio::time::timeout_at(until.into(), carried) => {
-                    ended.unwrap_or_else(|_| Outcome::TimedOut.into())
-                }
-                Ok(_) = cancelled.wait_for(|c| *c == Some(attempt)) => Outcome::Canceled.into(),
+                ended = tokio::time::timeout_at(until.into(), carried) => match ended {
+                    Ok(Ended { outcome, answer, seen_use, foreign_units }) => {
+                        (Input::Ended { id, attempt, outcome, seen_use, foreign_units }, answer)
+                    }
+                    Err(_) => (Input::TimeUp { id, attempt }, None),
+                },
+                Ok(_) = stopped.wait_for(|s| *s == Some(attempt)) => (Input::Stopped { id, attempt }, None),
             };
-            exchange.ended(id, attempt, node, ended, now.elapsed().as_nanos() as Nanos);
+            exchange.feed(input, brought);
         });
     }
-
-    fn ended(self: &Rc<Self>, id: ReqId, attempt: u32, node: NodeId, ended: Ended<T::Answer>, took: Nanos) {
-        let last = {
-            let mut core = self.core.borrow_mut();
-            let Some(live) = core.live.get_mut(&id) else { return };
-            live.out -= 1;
-            if let Some(answer) = ended.answer {
-                live.settle(Final::Served(answer));
-            }
-            let last = live.answer.is_none();
-            core.forget(id);
-            last
-        };
-        let Ended { outcome, seen_use, foreign_units, .. } = ended;
-        self.feed(Event::Ended { id, attempt, node, outcome, took, last, seen_use, foreign_units });
-    }
-
-    fn answer(&self, id: ReqId, answer: Final<T::Answer>) {
-        let mut core = self.core.borrow_mut();
-        if let Some(live) = core.live.get_mut(&id) {
-            live.settle(answer);
-        }
-        core.forget(id);
-    }
-}
-
-impl<T: Transport> Live<T> {
-    /// The first final answer goes out, whatever comes after it does not.
-    fn settle(&mut self, answer: Final<T::Answer>) {
-        if let Some(sender) = self.answer.take() {
-            // The client may have left in this very moment.
-            let _ = sender.send(answer);
-        }
-    }
 }
 
-impl<T: Transport> Core<T> {
-    fn forget(&mut self, id: ReqId) {
-        if self.live.get(&id).is_some_and(|l| l.answer.is_none() && l.out == 0) {
-            self.live.remove(&id);
-        }
-    }
-}
-
-/// A client that waits. Where it goes before its answer, the module is told.
+/// A client that waits. Where it goes before its answer, the desk is told.
 struct Waiting<'a, T: Transport> {
     exchange: &'a Rc<Exchange<T>>,
     id: ReqId,
@@ -281,14 +248,6 @@
 
 impl<T: Transport> Drop for Waiting<'_, T> {
     fn drop(&mut self) {
-        let left = {
-            let mut core = self.exchange.core.borrow_mut();
-            let left = core.live.get_mut(&self.id).is_some_and(|l| l.answer.take().is_some());
-            core.forget(self.id);
-            left
-        };
-        if left {
-            self.exchange.feed(Event::Gone(self.id));
-        }
+        self.exchange.feed(Input::Left(self.id), None);
     }
 }
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -29,7 +29,8 @@
 use tokio::time::sleep;
 
 use crate::exchange::{Ended, Transport};
-use tulipbridge_core::{CellId, NodeId, Outcome};
+use tulipbridge_core::link::{Attempt, Doubt, Link, Next, OnAttempt, OnLink, Pool, Room};
+use tulipbridge_core::{CellId, Nanos, NodeId, Outcome};
 
 /// The most bytes of a body, either way.
 pub const MOST_BODY: usize = 64 * 1024;
@@ -91,10 +92,10 @@
 
 struct Shared {
     dial_timeout: Duration,
-    idle: Duration,
-    most: usize,
+    began: Instant,
     open: Cell<usize>,
     nodes: RefCell<Nodes>,
+    pool: RefCell<Pool<Conn>>,
 }
 
 #[derive(Default)]
@@ -109,17 +110,15 @@
     name: String,
     address: SocketAddr,
     cell: CellId,
-    /// The latest used last.
-    idle: Vec<Conn>,
 }
 
 impl Upstream {
     /// No chunk server is known yet. `idle_close` is when the servers close an idle connection; one written to
     /// in that moment is lost, so connections go well before. `most` bounds all connections together.
     pub fn new(dial_timeout: Duration, idle_close: Duration, most: usize) -> Upstream {
-        let idle = idle_close.mul_f64(0.8);
-        let (open, nodes) = (Cell::new(0), RefCell::default());
-        Upstream { shared: Rc::new(Shared { dial_timeout, idle, most, open, nodes }) }
+        let pool = RefCell::new(Pool::new(idle_close.mul_f64(0.8).as_nanos() as Nanos, most));
+        let (began, open, nodes) = (Instant::now(), Cell::new(0), RefCell::default());
+        Upstream { shared: Rc::new(Shared { dial_timeout, began, open, nodes, pool }) }
     }
 
     /// The number of a chunk server, given at its first mention, and where it is from now on.
@@ -130,7 +129,7 @@
                 member.cell = cell;
                 if member.address != address {
                     member.address = address;
-                    member.idle.clear();
+                    self.shared.pool.borrow_mut().moved(id);
                 }
             }
             return id;
@@ -138,16 +137,15 @@
         let id = nodes.next;
         nodes.next += 1;
         nodes.ids.insert(name.to_owned(), id);
-        nodes.list.insert(id, Member { name: name.to_owned(), address, cell, idle: Vec::new() });
+        nodes.list.insert(id, Member { name: name.to_owned(), address, cell });
+        self.shared.pool.borrow_mut().add(id);
         id
     }
 
     /// Closes connections that have stood idle for long.
     pub fn sweep(&self) {
-        let idle = self.shared.idle;
-        for member in self.shared.nodes.borrow_mut().list.values_mut() {
-            member.idle.retain(|c| !c.sender.is_closed() && c.since.elapsed() < idle);
-        }
+        let now = self.shared.now();
+        self.shared.pool.borrow_mut().sweep(now, |c| !c.sender.is_closed());
     }
 }
 
@@ -165,6 +163,7 @@
         if let Some(member) = nodes.list.remove(&node) {
             nodes.ids.remove(&member.name);
         }
+        self.shared.pool.borrow_mut().forget(node);
     }
 
     fn attempt(
@@ -179,88 +178,75 @@
 }
 
 impl Shared {
+    /// Carries an attempt out, step by step as the machine says.
     async fn attempt(self: Rc<Self>, node: NodeId, payload: &Payload, until: Instant) -> Ended<Answer> {
-        // A pooled connection may prove closed before anything of the request is taken from us; that is no
-        // attempt, and the next connection gets it. One that broke in mid-request is never gone round.
-        while let Some(mut conn) = self.pooled(node) {
-            if conn.sender.ready().await.is_ok() {
-                match self.send(&mut conn, payload, until).await {
-                    Err(Broken::Untouched) => continue,
-                    Err(broken) => return broken.outcome().into(),
-                    Ok(answer) => return self.keep(node, conn, answer),
+        let (mut attempt, mut next, mut at_hand) = (Attempt::Choosing, Next::Choose, None);
+        loop {
+            next = match next {
+                Next::Choose => {
+                    at_hand = self.pool.borrow_mut().take(node, self.now(), Conn::is_quiet).0;
+                    attempt.on(match at_hand {
+                        Some(_) => OnAttempt::Found,
+                        None => OnAttempt::NoneQuiet { room: self.make_room(node) },
+                    })
                 }
-            }
-        }
-        let mut conn = match self.dial(node).await {
-            Ok(conn) => conn,
-            Err(outcome) => return outcome.into(),
-        };
-        match self.send(&mut conn, payload, until).await {
-            Err(broken) => broken.outcome().into(),
-            Ok(answer) => self.keep(node, conn, answer),
+                Next::Dial => {
+                    at_hand = self.dial(node).await;
+                    attempt.on(if at_hand.is_some() { OnAttempt::Connected } else { OnAttempt::NotConnected })
+                }
+                Next::Send => match at_hand.take() {
+                    Some(mut conn) => match self.send(&mut conn, payload, until).await {
+                        Err(doubt) => attempt.on(OnAttempt::Broke(doubt)),
+                        Ok(ended) => {
+                            attempt.on(OnAttempt::Answered(ended.outcome));
+                            self.keep(node, conn);
+                            return ended;
+                        }
+                    },
+                    None => attempt.on(OnAttempt::Broke(Doubt::MayHaveRun)),
+                },
+                Next::End(outcome) => return outcome.into(),
+            };
         }
     }
 
-    fn pooled(&self, node: NodeId) -> Option<Conn> {
-        let mut nodes = self.nodes.borrow_mut();
-        let idle = &mut nodes.list.get_mut(&node)?.idle;
-        while let Some(conn) = idle.pop() {
-            if conn.is_quiet() && conn.since.elapsed() < self.idle {
-                return Some(conn);
-            }
-        }
-        None
+    /// The time as the pool counts it.
+    fn now(&self) -> Nanos {
+        self.began.elapsed().as_nanos() as Nanos
     }
 
-    fn keep(&self, node: NodeId, mut conn: Conn, answer: Ended<Answer>) -> Ended<Answer> {
-        if let Some(member) = self.nodes.borrow_mut().list.get_mut(&node) {
-            if member.address == conn.address && conn.is_quiet() {
-                conn.since = Instant::now();
-                member.idle.push(conn);
-            }
-        }
-        answer
+    fn keep(&self, node: NodeId, conn: Conn) {
+        let quiet = conn.is_quiet();
+        self.pool.borrow_mut().keep(node, conn.place, conn, self.now(), quiet);
     }
 
-    /// Frees a place in the table of connections, where it is full, at the cost of the longest idle one.
-    fn make_room(&self) -> bool {
-        if self.open.get() < self.most {
-            return true;
-        }
-        let mut nodes = self.nodes.borrow_mut();
-        let oldest = nodes.list.values_mut().filter(|m| !m.idle.is_empty()).min_by_key(|m| m.idle[0].since);
-        oldest.map(|m| m.idle.remove(0)).is_some()
+    /// Whether a connection to the node may be opened, which may cost the longest idle one.
+    fn make_room(&self, node: NodeId) -> bool {
+        self.nodes.borrow().list.contains_key(&node)
+            && !matches!(self.pool.borrow_mut().room(self.open.get()), Room::Full)
     }
 
-    async fn dial(self: &Rc<Self>, node: NodeId) -> Result<Conn, Outcome> {
-        let at = self.nodes.borrow().list.get(&node).map(|m| (m.address, m.cell));
-        let (address, cell) = at.ok_or(Outcome::Skipped)?;
-        if !self.make_room() {
-            return Err(Outcome::Skipped);
-        }
+    async fn dial(self: &Rc<Self>, node: NodeId) -> Option<Conn> {
+        let (address, cell) = self.nodes.borrow().list.get(&node).map(|m| (m.address, m.cell))?;
+        let place = self.pool.borrow().place(node)?;
         let table = Place::take(self);
         let dialled = tokio::time::timeout(self.dial_timeout, TcpStream::connect(address)).await;
-        let stream = dialled.map_err(|_| Outcome::Refused)?.map_err(|_| Outcome::Refused)?;
+        let stream = dialled.ok()?.ok()?;
         // Without it, a request in two writes would wait for an acknowledgement; failing costs only time.
         let _ = stream.set_nodelay(true);
-        let written = Rc::new(Written::default());
+        let wire = Rc::new(Wire::default());
         let socket = stream.as_raw_fd();
-        let io = TokioIo::new(Watched { stream, written: Rc::clone(&written) });
-        let handshake = Builder::new().max_buf_size(MOST_BUFFER).handshake(io).await;
-        let (sender, connection) = handshake.map_err(|_| Outcome::Refused)?;
+        let io = TokioIo::new(Watched { stream, wire: Rc::clone(&wire) });
+        let (sender, connection) = Builder::new().max_buf_size(MOST_BUFFER).handshake(io).await.ok()?;
         let task = tokio::task::spawn_local(async move {
             // How a connection ends shows in the attempt that it carries.
             let _ = connection.await;
         });
-        Ok(Conn { sender, task, socket, written, address, cell, since: Instant::now(), _place: table })
+        Some(Conn { sender, task, socket, wire, place, cell, _place: table })
     }
 
-    async fn send(
-        &self,
-        conn: &mut Conn,
-        payload: &Payload,
-        until: Instant,
-    ) -> Result<Ended<Answer>, Broken> {
+    async fn send(&self, conn: &mut Conn, payload: &Payload, until: Instant) -> Result<Ended<Answer>, Doubt> {
+        conn.sender.ready().await.map_err(|_| Doubt::Untouched)?;
         let mut request = Request::new(Full::new(payload.body.clone()));
         *request.method_mut() = payload.method.clone();
         *request.uri_mut() = payload.target.clone();
@@ -272,37 +258,34 @@
         if let Ok(left) = HeaderValue::try_from(format!("{left}u")) {
             headers.insert(REMAINING, left);
         }
-        let (written, cell) = (Rc::clone(&conn.written), conn.cell);
-        written.expect(payload.body.len());
+        let (wire, cell) = (Rc::clone(&conn.wire), conn.cell);
+        wire.expect(payload.body.len());
         // What comes ahead of an answer is none of it.
-        let answers = Arc::clone(&written.answers);
+        let answers = Arc::clone(&wire.answers);
         on_informational(&mut request, move |_| {
             answers.fetch_add(1, Ordering::Relaxed);
         });
         let answer = async {
-            let response = conn.sender.send_request(request).await.map_err(|_| written.broken())?;
-            // An answer to a request that has not gone out whole is an answer to something else.
-            match written.broken() {
-                Broken::MayHaveRun => whole(response, payload.accepts, cell).await,
-                unsent => Err(unsent),
+            let response = conn.sender.send_request(request).await.map_err(|_| wire.doubt())?;
+            if !wire.link.get().answers() {
+                return Err(wire.doubt());
             }
+            let ended = whole(response, payload.accepts, cell).await?;
+            wire.on(OnLink::Whole);
+            Ok(ended)
         };
         let mut answer = pin!(answer);
         tokio::select! {
             biased;
             answer = answer.as_mut() => answer,
-            () = written.stalled() => Err(written.broken()),
+            () = wire.stalled() => Err(wire.doubt()),
         }
     }
 }
 
 /// An answer with its body. Whatever is not framed beyond doubt and within bounds is spoilt: it may have run, and
 /// there is no answer to pass on.
-async fn whole(
-    response: Response<Incoming>,
-    accepts: Accepts,
-    cell: CellId,
-) -> Result<Ended<Answer>, Broken> {
+async fn whole(response: Response<Incoming>, accepts: Accepts, cell: CellId) -> Result<Ended<Answer>, Doubt> {
     let headers = response.headers();
     let (sized, coded) = (headers.contains_key(CONTENT_LENGTH), headers.contains_key(TRANSFER_ENCODING));
     let size = response.body().size_hint();
@@ -310,12 +293,12 @@
     let endless = size.exact().is_none() && !coded;
     if response.status().is_informational() || (sized && coded) || endless || size.lower() > MOST_BODY as u64
     {
-        return Err(Broken::MayHaveRun);
+        return Err(Doubt::MayHaveRun);
     }
     let (outcome, seen_use, foreign_units) = read_head(&response, accepts);
     let (head, body) = response.into_parts();
     let body = Limited::new(body, MOST_BODY).collect().await;
-    let body = body.map_err(|_| Broken::MayHaveRun)?.to_bytes();
+    let body = body.map_err(|_| Doubt::MayHaveRun)?.to_bytes();
     let answer = (outcome == Outcome::Done).then_some(Answer {
         cell,
         status: head.status,
@@ -350,35 +333,16 @@
     told.into_iter().find(|n: &f64| n.is_finite() && *n >= 0.0)
 }
 
-/// Why no answer came.
-enum Broken {
-    /// Nothing of the request was written.
-    Untouched,
-    /// Its last byte was not written: it never ran.
-    Partly,
-    /// Its last byte was written.
-    MayHaveRun,
-}
-
-impl Broken {
-    fn outcome(&self) -> Outcome {
-        match self {
-            Broken::Untouched | Broken::Partly => Outcome::Refused,
-            Broken::MayHaveRun => Outcome::Reset,
-        }
-    }
-}
-
 /// A connection; dropping it closes it, also in mid-request.
 struct Conn {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     /// Lives as long as the task does, and that as long as the sender is not closed.
     socket: i32,
-    written: Rc<Written>,
-    address: SocketAddr,
+    wire: Rc<Wire>,
+    /// Which of its node's places it leads to.
+    place: u32,
     cell: CellId,
-    since: Instant,
     _place: Place,
 }
 
@@ -386,7 +350,8 @@
     /// Open, with nothing on it: bytes that came unasked would be taken for the next request's answer.
     fn is_quiet(&self) -> bool {
         let peek = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
-        !self.sender.is_closed()
+        self.wire.link.get() == Link::Quiet
+            && !self.sender.is_closed()
             && !self.task.is_finished()
             && recv(self.socket, &mut [0], peek) == Err(Errno::EAGAIN)
     }
@@ -414,11 +379,10 @@
     }
 }
 
-/// How much of the present request the socket has taken. Whether a request may have run hangs on its last
-/// byte, and no error of a library tells that.
-#[derive(Default)]
-struct Written {
-    begun: Cell<bool>,
+/// What the socket has taken and brought: no error of a library tells whether the last byte of a request is
+/// out.
+struct Wire {
+    link: Cell<Link>,
     /// Bytes matched of the empty line that ends the head.
     matched: Cell<usize>,
     body_left: Cell<usize>,
@@ -431,15 +395,39 @@
 
 const HEAD_END: &[u8; 4] = b"\r\n\r\n";
 
-impl Written {
+impl Default for Wire {
+    fn default() -> Wire {
+        Wire {
+            link: Cell::new(Link::Quiet),
+            matched: Cell::new(0),
+            body_left: Cell::new(0),
+            answers: Arc::default(),
+            heard: Cell::new(0),
+            came: Notify::new(),
+        }
+    }
+}
+
+impl Wire {
+    fn on(&self, event: OnLink) {
+        let mut link = self.link.get();
+        link.on(event);
+        self.link.set(link);
+    }
+
+    fn doubt(&self) -> Doubt {
+        self.link.get().doubt()
+    }
+
     fn expect(&self, body: usize) {
-        self.begun.set(false);
+        self.on(OnLink::HandedOver);
         self.matched.set(0);
         self.body_left.set(body);
         self.answers.fetch_add(1, Ordering::Relaxed);
     }
 
     fn heard(&self) {
+        self.on(OnLink::Heard);
         let answer = self.answers.load(Ordering::Relaxed);
         if self.heard.replace(answer) != answer {
             self.came.notify_one();
@@ -463,7 +451,9 @@
     }
 
     fn wrote(&self, bytes: &[u8]) {
-        self.begun.set(self.begun.get() || !bytes.is_empty());
+        if bytes.is_empty() {
+            return;
+        }
         let mut matched = self.matched.get();
         let mut head = 0;
         while matched < HEAD_END.len() && head < bytes.len() {
@@ -473,23 +463,15 @@
         }
         self.matched.set(matched);
         self.body_left.set(self.body_left.get().saturating_sub(bytes.len() - head));
-    }
-
-    fn broken(&self) -> Broken {
-        if self.matched.get() == HEAD_END.len() && self.body_left.get() == 0 {
-            Broken::MayHaveRun
-        } else if self.begun.get() {
-            Broken::Partly
-        } else {
-            Broken::Untouched
-        }
+        let last = self.matched.get() == HEAD_END.len() && self.body_left.get() == 0;
+        self.on(OnLink::Wrote { last });
     }
 }
 
 /// A socket that keeps count of what it has taken.
 struct Watched {
     stream: TcpStream,
-    written: Rc<Written>,
+    wire: Rc<Wire>,
 }
 
 impl AsyncRead for Watched {
@@ -501,7 +483,7 @@
         let before = buf.filled().len();
         let done = Pin::new(&mut self.stream).poll_read(cx, buf);
         if buf.filled().len() > before {
-            self.written.heard();
+            self.wire.heard();
         }
         done
     }
@@ -515,7 +497,7 @@
     ) -> Poll<std::io::Result<usize>> {
         let done = Pin::new(&mut self.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(count)) = done {
-            self.written.wrote(&buf[..count]);
+            self.wire.wrote(&buf[..count]);
         }
         done
     }
