Explore the machines and the module exhaustively: tulipbridge-check

Found and mended: bytes that nobody asked for and that came before the last byte of a request was written passed as its answer, if read after it; the upstream looks at the socket before it writes, and what it finds there now costs the connection and not the request.

--- /dev/null
+++ b/crates/checker/src/configs.rs
@@ -0,0 +1,217 @@
+//! The configurations that are explored.
+
+use tulipbridge_core::{Class, Group, Plan, Semantics, Settings};
+
+use crate::world::{Ask, Mode, News, Trouble, World, MS};
+
+const READ: usize = 0;
+const SUBMIT: usize = 1;
+/// All that may go wrong on the network and at nodes.
+const ALL: &[Trouble] = &[
+    Trouble::Leave,
+    Trouble::Refuse,
+    Trouble::Break,
+    Trouble::Error,
+    Trouble::TurnAway,
+    Trouble::Spoil,
+    Trouble::Close,
+    Trouble::Unasked,
+    Trouble::Still,
+];
+/// What befalls a connection that is kept.
+const KEPT: &[Trouble] = &[Trouble::Close, Trouble::Unasked, Trouble::Break, Trouble::Leave];
+/// What befalls an attempt on its way.
+const WAY: &[Trouble] = &[Trouble::Leave, Trouble::Refuse, Trouble::Break, Trouble::TurnAway, Trouble::Still];
+
+fn class(semantics: Semantics) -> Class {
+    Class {
+        aim: 60 * MS,
+        aim_stretch: 0.0,
+        deadline: 120 * MS,
+        semantics,
+        group: Group::All,
+        window: 2000 * MS,
+        keep_order: false,
+        late_worth: 0.2,
+        points: 2.0,
+        writes: semantics == Semantics::AtMostOnce,
+    }
+}
+
+/// The settings of every configuration: reads that may be repeated, and submits that may not.
+pub fn settings() -> Settings {
+    Settings {
+        initiators: 1,
+        classes: vec![class(Semantics::Idempotent), class(Semantics::AtMostOnce)],
+        plans: vec![Plan {
+            limit_rate: 0.0,
+            limit_burst: 0.0,
+            reserve_rate: 50.0,
+            nominal: 10.0,
+            weight: 1.0,
+            price: 1.0,
+        }],
+        quantum: 2 * MS,
+        cold_units: 16.0,
+        unit_mean: 2.0,
+        most_units: 8.0,
+        fair_worth: 0.4,
+        idle_worth: 0.05,
+        use_period: 0,
+        most_tries: 2,
+        second_copies: false,
+        cancelling: true,
+        max_retry_after: 500 * MS,
+        list_on_request: true,
+        ask_every: 10_000 * MS,
+        cold: 10_000 * MS,
+        cold_from: 0.25,
+        tip_multiple: 3.0,
+        fall: 1000 * MS,
+        order_settle: 0,
+        budget: None,
+    }
+}
+
+fn ask(class: usize, cell: Option<u32>) -> Ask {
+    Ask { class, cell, patience: 120 * MS }
+}
+
+fn world(name: &'static str, about: &'static str, mode: Mode, asks: Vec<Ask>) -> World {
+    World {
+        name,
+        about,
+        mode,
+        settings: settings(),
+        asks,
+        in_turn: false,
+        nodes: 2,
+        news: Vec::new(),
+        troubles: 2,
+        kinds: ALL,
+        step: 40 * MS,
+        steps: 2,
+        connections: 4,
+        idle: 80 * MS,
+        quick: true,
+    }
+}
+
+/// All configurations, the smallest first.
+pub fn all() -> Vec<World> {
+    let (read, submit) = (ask(READ, Some(0)), ask(SUBMIT, None));
+    let (mut tries, mut once) = (settings(), settings());
+    tries.most_tries = 3;
+    once.most_tries = 1;
+    vec![
+        world("submit", "one submit, two nodes, any decisions", Mode::Any, vec![submit]),
+        world("read", "one read, two nodes, any decisions", Mode::Any, vec![read]),
+        World {
+            nodes: 1,
+            kinds: KEPT,
+            in_turn: true,
+            settings: once.clone(),
+            ..world("reuse", "two reads in a row over kept connections", Mode::Any, vec![read, read])
+        },
+        World {
+            nodes: 1,
+            kinds: WAY,
+            troubles: 1,
+            connections: 1,
+            ..world("cap", "a read and a submit over one connection", Mode::Any, vec![read, submit])
+        },
+        World {
+            nodes: 1,
+            kinds: KEPT,
+            troubles: 1,
+            in_turn: true,
+            settings: once,
+            news: vec![News::Moves(0), News::Gone(0)],
+            ..world(
+                "move",
+                "a node changes its address, and goes, about two reads",
+                Mode::Any,
+                vec![read, read],
+            )
+        },
+        World {
+            kinds: WAY,
+            troubles: 1,
+            news: vec![News::Drains(0), News::Gone(0)],
+            ..world("drain", "a node drains and goes while a submit is anywhere", Mode::Any, vec![submit])
+        },
+        World {
+            troubles: 3,
+            ..world("module-submit", "one submit, two nodes, the module", Mode::Module, vec![submit])
+        },
+        World {
+            troubles: 3,
+            ..world("module-read", "one read, two nodes, the module", Mode::Module, vec![read])
+        },
+        World {
+            troubles: 1,
+            kinds: WAY,
+            news: vec![News::Drains(0), News::TakesOver(2, 0), News::Gone(0)],
+            ..world(
+                "module-drain",
+                "a node hands its cell to a cold one while a read is anywhere",
+                Mode::Module,
+                vec![read],
+            )
+        },
+        World {
+            troubles: 2,
+            kinds: WAY,
+            quick: false,
+            ..world("two", "a read and a submit, two nodes, any decisions", Mode::Any, vec![read, submit])
+        },
+        World {
+            troubles: 4,
+            settings: tries.clone(),
+            quick: false,
+            ..world("submit-deep", "one submit, three attempts, four troubles", Mode::Any, vec![submit])
+        },
+        World {
+            troubles: 2,
+            settings: tries,
+            quick: false,
+            ..world(
+                "module-two",
+                "a read and a submit, three attempts, the module",
+                Mode::Module,
+                vec![read, submit],
+            )
+        },
+    ]
+}
+
+/// One that is too large to be explored, for random walks: it is no part of [`all`].
+pub fn large() -> World {
+    let asks = (0..300).map(|i| ask(i % 3 / 2, (i % 2 == 0).then_some(i as u32 % 14))).collect();
+    let mut set = settings();
+    set.most_tries = 3;
+    World {
+        settings: set,
+        nodes: 14,
+        news: vec![
+            News::Drains(3),
+            News::Lost,
+            News::TakesOver(14, 3),
+            News::Gone(3),
+            News::Moves(5),
+            News::Drains(7),
+            News::TakesOver(15, 7),
+            News::Gone(7),
+        ],
+        troubles: 100,
+        steps: 250,
+        connections: 12,
+        quick: false,
+        ..world("large", "300 requests, fourteen nodes, the module; for walks", Mode::Module, asks)
+    }
+}
+
+/// The configuration of that name.
+pub fn named(name: &str) -> Option<World> {
+    all().into_iter().chain([large()]).find(|w| w.name == name)
+}
--- /dev/null
+++ b/crates/checker/src/lib.rs
@@ -0,0 +1,10 @@
+//! Explores every state that the front's machines can reach in small configurations, and holds each against the
+//! rules. The machines are those that ship, from [`tulipbridge_core`]; what is round them is in [`world`].
+
+pub mod cli;
+pub mod configs;
+pub mod explore;
+pub mod judge;
+pub mod properties;
+pub mod trace;
+pub mod world;
--- /dev/null
+++ b/crates/checker/src/properties.rs
@@ -0,0 +1,78 @@
+//! What must hold in every state, each with its name, its sentence and the rule it stands for.
+
+/// A property.
+#[derive(Clone, Copy, Debug)]
+pub struct Property {
+    /// Its stable name.
+    pub name: &'static str,
+    /// What holds.
+    pub sentence: &'static str,
+    /// The rule it stands for.
+    pub rule: &'static str,
+    /// Whether a history has broken it.
+    pub is_broken: fn(&Broken) -> bool,
+}
+
+/// Declares the flags and the table together, so that none of either is forgotten.
+macro_rules! properties {
+    ($($flag:ident, $name:literal, $rule:literal, $sentence:literal;)*) => {
+        /// Which properties a history has broken.
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+        pub struct Broken {
+            $(#[doc = $sentence] pub $flag: bool,)*
+        }
+
+        impl Broken {
+            /// Whether any is.
+            pub fn any(&self) -> bool {
+                false $(|| self.$flag)*
+            }
+        }
+
+        /// All properties.
+        pub const ALL: &[Property] = &[
+            $(Property { name: $name, sentence: $sentence, rule: $rule, is_broken: |b| b.$flag },)*
+        ];
+    };
+}
+
+properties! {
+    second_final_answer, "one-final-answer", "13.1",
+        "A request gets no second final answer.";
+    answer_after_leaving, "no-answer-after-leaving", "13.1",
+        "A client that has left is sent no answer.";
+    not_answered, "answered-in-time", "13.1",
+        "A client that waits has its answer within the slack after its time, stand-stills granted.";
+    submit_ran_twice, "submit-runs-once", "13.2",
+        "A request that must not run twice runs at most once.";
+    harmful_refusal, "refusal-is-harmless", "13.2",
+        "A request that must not run twice is refused only where no attempt of it has run or can still run.";
+    doubt_is_wrong, "doubt-hangs-on-last-byte", "13.2",
+        "An attempt that broke counts as one that may have run exactly where its last byte was written.";
+    resent, "nothing-resent", "13.2",
+        "An attempt of which a byte was written is written to no second connection.";
+    work_to_leaving_node, "no-work-to-leaving-node", "13.3",
+        "Nothing is sent to a node told to be draining or gone; what was dialling begins within the grace.";
+    node_forgotten_in_use, "no-number-reused", "13.3",
+        "A node is forgotten only when nothing is out to it; afterwards nothing is sent to it and no connection kept.";
+    too_many_attempts, "attempts-within-limits", "13.2",
+        "A request has no more attempts than allowed, and no second one out where there are no copies.";
+    sent_for_nobody, "no-work-for-nobody", "13.1",
+        "Nothing is sent for a request that is answered or whose client has left.";
+    foreign_answer, "answer-belongs", "13.1",
+        "A client gets only what a node answered to its own request.";
+    too_many_connections, "connections-capped", "limits",
+        "No more connections to nodes are open than the cap allows.";
+    idle_too_long, "no-stale-reuse", "limits",
+        "No connection is used again past the time within which nodes keep it.";
+    sent_to_old_place, "goes-where-node-is", "discovery",
+        "No connection to an address that its node has left is used again.";
+    attempt_unknown, "every-attempt-held", "13.1",
+        "Every attempt that is out is held with its request, and none that has ended is.";
+    too_much_time, "attempt-within-time", "13.1",
+        "No attempt is given more time than its client has.";
+    left_at_rest, "nothing-left-at-rest", "13.1",
+        "Once every client is answered or gone and nothing is out, nothing is held or queued and every connection is quiet.";
+    panicked, "never-panics", "house",
+        "No order of events makes the front panic.";
+}
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -210,7 +210,9 @@
                 self.ended(now, (id, attempt), outcome, (seen_use, foreign_units), effects);
             }
             Input::TimeUp { id, attempt } => {
-                self.ended(now, (id, attempt), Outcome::TimedOut, (0.0, 0.0), effects)
+                let never = seeded(Bug::TimeUpProvesNothingRan);
+                let outcome = if never { Outcome::Refused } else { Outcome::TimedOut };
+                self.ended(now, (id, attempt), outcome, (0.0, 0.0), effects)
             }
             Input::Stopped { id, attempt } => {
                 let never = seeded(Bug::CancelProvesNothingRan);
@@ -252,7 +254,10 @@
         let Some(held) = self.held.get_mut(&id) else { return };
         // An attempt ends once: what comes of it later was on its way already.
         let Some(at) = held.out.iter().position(|o| o.attempt == attempt) else { return };
-        let out = held.out.remove(at);
+        let out = held.out[at];
+        if !seeded(Bug::AttemptLeftInTable) {
+            held.out.remove(at);
+        }
         if outcome == Outcome::Done && (!held.settled || seeded(Bug::SecondFinalAnswer)) {
             held.settled = true;
             effects.push(Effect::Answer { id, verdict: Verdict::Served });
@@ -291,7 +296,7 @@
                 let Some(held) = self.held.get_mut(&id) else { return };
                 let attempt = held.tries;
                 held.tries += 1;
-                if held.settled {
+                if held.settled && !seeded(Bug::PlacedAfterAnswer) {
                     // Nothing goes out for what has been answered.
                     let (outcome, last) = (Outcome::Skipped, true);
                     let (took, seen_use, foreign_units) = (0, 0.0, 0.0);
@@ -309,6 +314,7 @@
                 }
                 held.out.push(Out { attempt, node, at: now, stopped: false });
                 let until = match patience {
+                    0 if seeded(Bug::UntilPastClient) => held.until + 1_000_000_000,
                     0 => held.until,
                     some => held.until.min(now + some.max(0)),
                 };
@@ -342,7 +348,11 @@
     }
 
     fn release(&mut self, id: ReqId, effects: &mut Vec<Effect>) {
-        if self.held.get(&id).is_some_and(|h| h.settled && h.out.is_empty()) {
+        if self
+            .held
+            .get(&id)
+            .is_some_and(|h| h.settled && (h.out.is_empty() || seeded(Bug::ReleasedWhileOut)))
+        {
             self.held.remove(&id);
             effects.push(Effect::Release(id));
         }
--- a/crates/core/src/link.rs
+++ b/crates/core/src/link.rs
@@ -94,6 +94,15 @@
         }
     }
 
+    /// Whether bytes may be written, asked just before: `waits` says that bytes, or the end, lie on the socket
+    /// already. Behind the last byte nothing would tell them from the answer.
+    pub fn may_write(&mut self, waits: bool) -> bool {
+        if waits && !seeded(Bug::WritesOverWaitingBytes) {
+            self.on(OnLink::Heard);
+        }
+        !matches!(self, Link::Spoilt { .. })
+    }
+
     /// What is known of the request on it, were it to break now.
     pub fn doubt(self) -> Doubt {
         match self {
@@ -167,6 +176,9 @@
             (Attempt::Choosing, OnAttempt::NoneQuiet { room: true }) => Next::Dial,
             (Attempt::Choosing, OnAttempt::NoneQuiet { room: false }) => Next::End(Outcome::Skipped),
             (Attempt::Dialling, OnAttempt::Connected) => Next::Send,
+            (Attempt::Dialling, OnAttempt::NotConnected) if seeded(Bug::DialFailureInDoubt) => {
+                Next::End(Outcome::Reset)
+            }
             (Attempt::Dialling, OnAttempt::NotConnected) => Next::End(Outcome::Refused),
             // A pooled connection may prove closed before anything of the request is taken from us; that is no
             // attempt, and the next connection gets it. One that broke in mid-request is never gone round.
@@ -242,6 +254,9 @@
 
     /// A node is gone. Gives its connections.
     pub fn forget(&mut self, node: NodeId) -> Vec<(C, Nanos)> {
+        if seeded(Bug::ForgottenNodeKeepsConnections) {
+            return Vec::new();
+        }
         self.members.remove(&node).map(|m| m.quiet).unwrap_or_default()
     }
 
@@ -257,7 +272,7 @@
         let Some(member) = self.members.get_mut(&node) else { return (None, useless) };
         while let Some((conn, since)) = member.quiet.pop() {
             let fresh = now - since < idle || seeded(Bug::IdleForTooLong);
-            if fresh && (quiet(&conn) || seeded(Bug::BytesWaitingAtReuse)) {
+            if fresh && quiet(&conn) {
                 return (Some(conn), useless);
             }
             useless.push(conn);
@@ -269,7 +284,6 @@
     /// it is of no use.
     pub fn keep(&mut self, node: NodeId, place: u32, conn: C, now: Nanos, quiet: bool) -> Option<C> {
         let stays = |m: &&mut Member<C>| m.place == place || seeded(Bug::KeptForAnotherAddress);
-        let quiet = quiet || seeded(Bug::KeptUnquiet);
         match self.members.get_mut(&node).filter(stays).filter(|_| quiet) {
             Some(member) => {
                 member.quiet.push((conn, now));
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -1,6 +1,7 @@
 //! Every decision of tulipbridge. Its types, events and actions are in `src/interface.rs`.
 
 use crate::interface::*;
+use crate::seeded::{seeded, Bug};
 use crate::state::{aged, smoothed, weighted, Bucket, Health, Live, Node, Rate, Scheduler, Sent, Volume};
 
 const MS: Nanos = 1_000_000;
@@ -137,7 +138,9 @@
             Event::Gone(id) => {
                 self.left(id);
                 self.spare(id, actions);
-                self.finish(id);
+                if !seeded(Bug::GoneNotFinished) {
+                    self.finish(id);
+                }
             }
             Event::First(id) => {
                 self.live.entry(id).and_modify(|l| l.streaming = true);
@@ -725,7 +728,8 @@
     /// Further attempts: class, window and group, number of tries, budget and the time left must all allow.
     fn may_repeat(&self, live: &Live, at: Option<NodeId>) -> bool {
         let class = &self.set.classes[live.req.class];
-        if live.tries >= self.set.most_tries || live.out > 0 || self.now >= live.die_at - self.margin() {
+        let tried = live.tries >= self.set.most_tries && !seeded(Bug::TriesUnbounded);
+        if tried || live.out > 0 || self.now >= live.die_at - self.margin() {
             return false;
         }
         let budget = self.budget();
@@ -742,7 +746,7 @@
         };
         match class.semantics {
             Semantics::Idempotent => true,
-            Semantics::AtMostOnce => false,
+            Semantics::AtMostOnce => seeded(Bug::RepeatsSubmit),
             Semantics::Deduplicated => self.now < sent + class.window && at.is_none_or(same_group),
         }
     }
@@ -771,7 +775,7 @@
         let harmless = match class.semantics {
             Semantics::Idempotent => true,
             Semantics::Deduplicated => !ran || class.group == Group::All,
-            Semantics::AtMostOnce => !ran,
+            Semantics::AtMostOnce => !ran || seeded(Bug::RefusesSubmitInDoubt),
         };
         if harmless {
             let wait = self.wait(live, lot);
--- a/crates/core/src/seeded.rs
+++ b/crates/core/src/seeded.rs
@@ -17,10 +17,8 @@
     ResentSilently,
     /// A reset after the last byte counts as a refused connection.
     ResetTakenForRefusal,
-    /// A pooled connection is used again though bytes wait on it.
-    BytesWaitingAtReuse,
-    /// A connection is kept though more came than its answer.
-    KeptUnquiet,
+    /// A request is written to a connection though bytes wait on it.
+    WritesOverWaitingBytes,
     /// A connection is used again past the time at which nodes close it.
     IdleForTooLong,
     /// A connection to a node's old address is kept for the new one.
@@ -35,6 +33,34 @@
     LeftChargedForEver,
     /// A second final answer goes out.
     SecondFinalAnswer,
+    /// An attempt goes out for a request that has been answered.
+    PlacedAfterAnswer,
+    /// An attempt that has ended stays in the table.
+    AttemptLeftInTable,
+    /// A request is released while an attempt of it is out.
+    ReleasedWhileOut,
+    /// A time-out is taken as proof that nothing ran.
+    TimeUpProvesNothingRan,
+    /// An attempt may run on past its client's time.
+    UntilPastClient,
+    /// A connection that never came up counts as one that may have carried the request.
+    DialFailureInDoubt,
+    /// The connections of a node that is forgotten are kept.
+    ForgottenNodeKeepsConnections,
+    /// A drain notice misses the work that is queued.
+    DrainMissesQueued,
+    /// A request that must not run twice is tried again after a reset.
+    RepeatsSubmit,
+    /// A request that must not run twice is refused though it may have run.
+    RefusesSubmitInDoubt,
+    /// The number of tries is not looked at.
+    TriesUnbounded,
+    /// A request that is over stays in its node's queue.
+    QueueKeepsFinished,
+    /// A request whose client is gone goes on being scheduled.
+    GoneNotFinished,
+    /// A node keeps an attempt that has ended among those out to it.
+    OutKeepsEnded,
 }
 
 /// All of them, with the name that commands use.
@@ -45,8 +71,7 @@
     (Bug::PartlySentGoesRound, "partly-sent-goes-round"),
     (Bug::ResentSilently, "resent-silently"),
     (Bug::ResetTakenForRefusal, "reset-taken-for-refusal"),
-    (Bug::BytesWaitingAtReuse, "bytes-waiting-at-reuse"),
-    (Bug::KeptUnquiet, "kept-unquiet"),
+    (Bug::WritesOverWaitingBytes, "writes-over-waiting-bytes"),
     (Bug::IdleForTooLong, "idle-for-too-long"),
     (Bug::KeptForAnotherAddress, "kept-for-another-address"),
     (Bug::NoCapOnConnections, "no-cap-on-connections"),
@@ -54,6 +79,20 @@
     (Bug::AnswerToClientThatLeft, "answer-to-client-that-left"),
     (Bug::LeftChargedForEver, "left-charged-for-ever"),
     (Bug::SecondFinalAnswer, "second-final-answer"),
+    (Bug::PlacedAfterAnswer, "placed-after-answer"),
+    (Bug::AttemptLeftInTable, "attempt-left-in-table"),
+    (Bug::ReleasedWhileOut, "released-while-out"),
+    (Bug::TimeUpProvesNothingRan, "time-up-proves-nothing-ran"),
+    (Bug::UntilPastClient, "until-past-client"),
+    (Bug::DialFailureInDoubt, "dial-failure-in-doubt"),
+    (Bug::ForgottenNodeKeepsConnections, "forgotten-node-keeps-connections"),
+    (Bug::DrainMissesQueued, "drain-misses-queued"),
+    (Bug::RepeatsSubmit, "repeats-submit"),
+    (Bug::RefusesSubmitInDoubt, "refuses-submit-in-doubt"),
+    (Bug::TriesUnbounded, "tries-unbounded"),
+    (Bug::QueueKeepsFinished, "queue-keeps-finished"),
+    (Bug::GoneNotFinished, "gone-not-finished"),
+    (Bug::OutKeepsEnded, "out-keeps-ended"),
 ];
 
 #[cfg(feature = "seeded")]
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -2,8 +2,10 @@
 //! is chosen here: both are in `policy.rs`.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::hash::{Hash, Hasher};
 
 use crate::interface::*;
+use crate::seeded::{seeded, Bug};
 
 /// A token bucket in units.
 #[derive(Clone, Debug)]
@@ -36,7 +38,7 @@
 }
 
 /// Events or units a second, smoothed over time.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Rate {
     per_second: f64,
     pub at: Nanos,
@@ -67,6 +69,7 @@
 }
 
 /// What this initiator knows of a volume.
+#[derive(Clone, Debug)]
 pub struct Volume {
     /// Own part of the limit; absent where the plan has none.
     pub limit: Option<Bucket>,
@@ -78,6 +81,7 @@
 }
 
 /// A request not yet answered, or with attempts out.
+#[derive(Clone, Debug)]
 pub struct Live {
     pub req: Request,
     pub cell: Option<CellId>,
@@ -115,6 +119,7 @@
 }
 
 /// An attempt that is out.
+#[derive(Clone, Debug)]
 pub struct Sent {
     pub at: Nanos,
     pub expected: f64,
@@ -124,13 +129,14 @@
 }
 
 /// How much a node is trusted. One notion for every way of failing.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Health {
     Good,
     /// No answers or lost connections: trial requests only.
     Suspect,
 }
 
+#[derive(Clone, Debug)]
 pub struct Node {
     pub cell: CellId,
     pub zone: u32,
@@ -235,7 +241,7 @@
 }
 
 /// Requests of one key in their order, and when the next may go.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Line {
     pub order: VecDeque<ReqId>,
     pub rest_until: Nanos,
@@ -256,7 +262,7 @@
 }
 
 /// How long clients of a class stay, where they leave early, and how often they do.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Stay {
     pub age: f64,
     rate: f64,
@@ -278,7 +284,7 @@
 }
 
 /// What this initiator admits, over all nodes.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Admission {
     /// Requests a second that may be taken on; absent is no bound.
     pub bound: Option<f64>,
@@ -307,6 +313,7 @@
 }
 
 /// Decides for one initiator. See the crate's page for an example.
+#[derive(Clone, Debug)]
 pub struct Scheduler {
     pub(crate) set: Settings,
     pub(crate) random: fastrand::Rng,
@@ -370,13 +377,69 @@
         })
     }
 
+    /// Whether nothing is waiting here and nothing is out.
+    pub fn is_at_rest(&self) -> bool {
+        let out = self.nodes.values().any(|n| !n.out.is_empty());
+        self.live.is_empty() && self.queues.values().all(Vec::is_empty) && !out
+    }
+
+    /// All that later decisions hang on, with moments by how far they are from `now`: for checkers, which take
+    /// states of one fingerprint for one state.
+    pub fn fingerprint<H: Hasher>(&self, now: Nanos, h: &mut H) {
+        let ago = |t: Nanos| now - t;
+        let bits = |x: f64| x.to_bits();
+        (ago(self.now), self.started, self.random.get_seed()).hash(h);
+        for (id, n) in &self.nodes {
+            (id, n.cell, n.zone, n.listed, n.cold_since.map(ago), ago(n.cold_until), n.flagged).hash(h);
+            for x in [n.cold_level, n.gap, n.base, n.weight, n.slow, n.near, n.tightest, n.credit, n.window] {
+                bits(x).hash(h);
+            }
+            (n.short.map(bits), n.best.map(bits), ago(n.best_at), ago(n.learnt_at), ago(n.period_at)).hash(h);
+            (n.narrowed, n.health, n.losses, ago(n.answer_at), ago(n.answered_of)).hash(h);
+            (ago(n.trial_at), n.trial_gap).hash(h);
+            n.cold_sent.iter().for_each(|(t, u)| (ago(*t), bits(*u)).hash(h));
+            for (key, s) in &n.out {
+                (key, ago(s.at), bits(s.expected), ago(s.due), s.counted).hash(h);
+            }
+        }
+        (&self.cells, &self.queues).hash(h);
+        for (id, l) in &self.live {
+            (id, l.cell, ago(l.since), ago(l.aim_at), ago(l.die_at), l.tries, l.out).hash(h);
+            (l.maybe_ran.map(|(t, n)| (ago(t), n)), ago(l.not_before), l.queued, l.finished).hash(h);
+        }
+        for (id, v) in &self.volumes {
+            (id, v.limit.as_ref().map(|l| bits(l.level_at(now))), bits(v.reserve.level_at(now))).hash(h);
+            (bits(v.beyond.per_second), ago(v.beyond.at), bits(v.share)).hash(h);
+        }
+        for (key, line) in &self.lines {
+            (key, &line.order, ago(line.rest_until).min(0)).hash(h);
+        }
+        for x in &self.unit_cost {
+            bits(*x).hash(h);
+        }
+        self.extras.iter().chain(&self.taken).for_each(|t| ago(*t).hash(h));
+        (self.extras.len(), &self.most_patience).hash(h);
+        for s in &self.stay {
+            (bits(s.age), bits(s.rate), ago(s.at)).hash(h);
+        }
+        let door = &self.admission;
+        (door.bound.map(bits), bits(door.bad)).hash(h);
+        for rate in [&door.asked, &door.counted, &door.sent] {
+            (bits(rate.per_second), ago(rate.at)).hash(h);
+        }
+        door.recent.iter().for_each(|x| bits(*x).hash(h));
+        (ago(self.second_at), ago(self.tick_at), self.last_high.map(bits), self.stopped).hash(h);
+        (self.ask_at.map(ago), self.ask_gap).hash(h);
+    }
+
     /// The request is over; it stays known while attempts are out, since they still hold its key.
     pub(crate) fn finish(&mut self, id: ReqId) {
         let Some(live) = self.live.get_mut(&id) else { return };
         live.finished = true;
         if live.queued {
             live.queued = false;
-            if let Some(queue) = live.cell.and_then(|c| self.queues.get_mut(&c)) {
+            if seeded(Bug::QueueKeepsFinished) {
+            } else if let Some(queue) = live.cell.and_then(|c| self.queues.get_mut(&c)) {
                 queue.retain(|q| *q != id);
             }
         }
@@ -397,7 +460,8 @@
     /// The nodes listed up for a cell.
     pub(crate) fn up(&self, cell: CellId) -> impl Iterator<Item = (NodeId, &Node)> {
         let held = self.cells.get(&cell).into_iter().flatten().map(|id| (*id, &self.nodes[id]));
-        held.filter(|(_, n)| n.listed == Listed::Up)
+        let misses = |n: &Node| seeded(Bug::DrainMissesQueued) && n.listed == Listed::Draining;
+        held.filter(move |(_, n)| n.listed == Listed::Up || misses(n))
     }
 
     /// Takes a waiting request to another cell's queue; false where it waits there already.
@@ -439,7 +503,12 @@
         last: bool,
     ) -> Option<(Sent, Request)> {
         let live = self.live.get_mut(&id)?;
-        let sent = self.nodes.get_mut(&at)?.out.remove(&(id, attempt))?;
+        let out = &mut self.nodes.get_mut(&at)?.out;
+        let sent = if seeded(Bug::OutKeepsEnded) {
+            out.get(&(id, attempt)).cloned()
+        } else {
+            out.remove(&(id, attempt))
+        }?;
         live.out -= 1;
         live.finished |= last;
         if ran && live.maybe_ran.is_none() {
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -450,6 +450,16 @@
         }
     }
 
+    /// Looks at the socket first: what waits there is no answer to what has not been written, and where the node
+    /// has ended the connection, nothing of the request need be risked on it.
+    fn may_write(&self, socket: i32) -> bool {
+        let mut link = self.link.get();
+        let waits = recv(socket, &mut [0], MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT).is_ok();
+        let may = link.may_write(waits);
+        self.link.set(link);
+        may
+    }
+
     fn wrote(&self, bytes: &[u8]) {
         if bytes.is_empty() {
             return;
@@ -495,6 +505,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
+        if !self.wire.may_write(self.stream.as_raw_fd()) {
+            return Poll::Ready(Err(std::io::ErrorKind::ConnectionReset.into()));
+        }
         let done = Pin::new(&mut self.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(count)) = done {
             self.wire.wrote(&buf[..count]);
