--- a/crates/checker/src/cli.rs
+++ b/crates/checker/src/cli.rs
@@ -9,10 +9,10 @@
 use clap::{Args, Parser, Subcommand};
 use serde::Serialize;
 
-use crate::explore::{explore, walk, Bounds, Report};
+use crate::configs::Config;
+use crate::explore::{explore, walk, Bounds, Explored, Report};
 use crate::trace::{shrink, Trace, TraceError};
-use crate::world::World;
-use crate::{configs, properties};
+use crate::{chart, configs, properties, with_config};
 
 /// Explores the states of a front's machines, and holds each against the rules.
 #[derive(Parser)]
@@ -80,6 +80,13 @@
         #[arg(long)]
         trace: Option<PathBuf>,
     },
+    /// Draws the reports that `explore --json` wrote, as an SVG picture
+    Chart {
+        /// The reports
+        reports: PathBuf,
+        /// The picture
+        picture: PathBuf,
+    },
     /// Plays a history from a file, step by step
     Replay {
         /// The file
@@ -118,6 +125,8 @@
     #[error("no configuration is called '{0}'; 'tulipbridge-check list' shows them")]
     Config(String),
     #[error(transparent)]
+    Chart(#[from] chart::ChartError),
+    #[error(transparent)]
     Trace(#[from] TraceError),
     #[error("cannot write {}: {source}", path.display())]
     Write { path: PathBuf, source: std::io::Error },
@@ -153,6 +162,10 @@
         Command::Walk { config, seed, steps, histories, trace } => {
             walks(&config, seed, steps, histories, trace.as_deref())
         }
+        Command::Chart { reports, picture } => chart::read(&reports)
+            .and_then(|bars| chart::draw(&bars, &picture))
+            .map(|()| 0)
+            .map_err(Failure::from),
         Command::Replay { file } => replay(&file),
     };
     match done {
@@ -175,21 +188,21 @@
 
 fn list() -> Result<u8, Failure> {
     say!("configurations:");
-    for world in configs::all().into_iter().chain([configs::large()]) {
-        say!("  {:<14} {}{}", world.name, world.about, if world.quick { " (quick)" } else { "" });
+    for world in configs::all().into_iter().chain([Config::Front(configs::large())]) {
+        say!("  {:<14} {}{}", world.name(), world.about(), if world.is_quick() { " (quick)" } else { "" });
     }
     say!("properties:");
     for property in properties::ALL {
         say!("  {:<26} {} [{}]", property.name, property.sentence, property.rule);
     }
     say!("seeded bugs:");
-    for (_, name) in tulipbridge_core::seeded::ALL {
+    for (_, name, _) in tulipbridge_core::seeded::ALL {
         say!("  {name}");
     }
     Ok(0)
 }
 
-fn one(name: &str) -> Result<World, Failure> {
+fn one(name: &str) -> Result<Config, Failure> {
     configs::named(name).ok_or_else(|| Failure::Config(name.to_owned()))
 }
 
@@ -204,13 +217,14 @@
 }
 
 /// Searches, with a line of progress where somebody looks.
-fn search(world: World, bounds: Bounds) -> Report {
-    let (terminal, name) = (std::io::stderr().is_terminal(), world.name);
-    let report = explore(world, bounds, |states, depth| {
+fn search(config: Config, bounds: Bounds) -> Report {
+    let (terminal, name) = (std::io::stderr().is_terminal(), config.name());
+    let progress = |states: usize, depth: usize| {
         if terminal {
             let _ = write!(std::io::stderr(), "\r{name}: {states} states, depth {depth}   ");
         }
-    });
+    };
+    let report = with_config!(config, world => explore(world, bounds, progress));
     if terminal {
         let _ = write!(std::io::stderr(), "\r\x1b[K");
     }
@@ -226,7 +240,7 @@
 ) -> Result<u8, Failure> {
     let worlds = match config {
         Some(name) => vec![one(name)?],
-        None => configs::all().into_iter().filter(|w| w.quick || !quick).collect(),
+        None => configs::all().into_iter().filter(|c| c.is_quick() || !quick).collect(),
     };
     say!(
         "{:<14} {:>10} {:>11} {:>6} {:>8} {:>8} {:>10}  result",
@@ -305,8 +319,8 @@
     traces: Option<&Path>,
     bounds: Bounds,
 ) -> Result<u8, Failure> {
-    use tulipbridge_core::seeded::{seed, ALL};
-    let chosen: Vec<_> = ALL.iter().filter(|(_, n)| name.is_none_or(|name| name == *n)).collect();
+    use tulipbridge_core::seeded::{seed, Part, ALL};
+    let chosen: Vec<_> = ALL.iter().filter(|(_, n, _)| name.is_none_or(|name| name == *n)).collect();
     if let Some(name) = name.filter(|_| chosen.is_empty()) {
         return Err(Failure::Bug(name.to_owned()));
     }
@@ -321,11 +335,14 @@
         "random/1000"
     );
     let (mut code, mut rows) = (0, Vec::new());
-    for (bug, name) in chosen {
+    for (bug, name, part) in chosen {
         seed(Some(*bug));
         let (mut seconds, mut states) = (0.0, 0);
         let mut found = None;
-        for world in configs::all().into_iter().filter(|w| w.quick) {
+        let mut worlds: Vec<Config> = configs::all().into_iter().filter(Config::is_quick).collect();
+        // Where the bug is, it is found soonest.
+        worlds.sort_by_key(|c| matches!(c, Config::Entrance(_)) != (*part == Part::Door));
+        for world in worlds {
             // One thread: the first history found is then a shortest one.
             let report = search(world.clone(), Bounds { threads: NonZeroUsize::MIN, ..bounds });
             seconds += report.seconds;
@@ -338,10 +355,7 @@
         let row = match found {
             Some((world, trace)) => {
                 let length = trace.steps.len();
-                let breaks = |s: &u64| {
-                    let steps = walk(&world, *s, length);
-                    !Trace::of(&world, &steps).breaks.is_empty()
-                };
+                let breaks = |s: &u64| with_config!(&world, w => !Trace::of(w, &walk(w, *s, length)).breaks.is_empty());
                 if let Some(dir) = traces {
                     write(&dir.join(format!("{name}.trace")), &trace.to_string())?;
                 }
@@ -350,7 +364,7 @@
                 Seeded {
                     bug: name,
                     found: true,
-                    config: world.name,
+                    config: world.name(),
                     breaks,
                     length,
                     seconds,
@@ -393,21 +407,26 @@
 }
 
 fn walks(config: &str, seed: u64, steps: usize, histories: u64, trace: Option<&Path>) -> Result<u8, Failure> {
-    let world = one(config)?;
+    with_config!(one(config)?, world => walk_all(&world, seed, steps, histories, trace))
+}
+
+fn walk_all<W: Explored>(
+    world: &W,
+    seed: u64,
+    steps: usize,
+    histories: u64,
+    trace: Option<&Path>,
+) -> Result<u8, Failure> {
     let mut taken = 0;
     for seed in seed..seed.saturating_add(histories) {
-        let history = walk(&world, seed, steps);
+        let history = walk(world, seed, steps);
         taken += history.len();
-        let found = Trace::of(&world, &history);
+        let found = Trace::of(world, &history);
         if !found.breaks.is_empty() {
-            let short = shrink(&world, &history);
-            let short = Trace::of(&world, &short);
-            say!(
-                "seed {seed}: {} broken after {} steps, {} when shrunk",
-                found.breaks.join(", "),
-                history.len(),
-                short.steps.len()
-            );
+            let short = shrink(world, &history, |s| world.broken_names(s) == found.breaks);
+            let (long, short) = (history.len(), Trace::of(world, &short));
+            let broken = found.breaks.join(", ");
+            say!("seed {seed}: {broken} broken after {long} steps, {} when shrunk", short.steps.len());
             match trace {
                 Some(path) => write(path, &short.to_string())?,
                 None => say!("{short}"),
@@ -415,18 +434,19 @@
             return Ok(BROKEN);
         }
     }
-    say!("{histories} histories of {config}, {taken} steps: all holds");
+    say!("{histories} histories of {}, {taken} steps: all holds", world.name());
     Ok(0)
 }
 
 fn replay(file: &Path) -> Result<u8, Failure> {
-    let (world, trace) = Trace::read(file)?;
-    let mut number = 0;
-    let state = trace.replay(&world, |step, broken| {
+    let (config, trace) = Trace::read(file)?;
+    let (mut number, mut broken) = (0, false);
+    let each = |step: &str, names: &[&str]| {
         number += 1;
-        let broken =
-            if broken.is_empty() { String::new() } else { format!("   BREAKS {}", broken.join(", ")) };
-        say!("{number:>4}  {step}{broken}");
-    })?;
-    Ok(if state.broken.any() { BROKEN } else { 0 })
+        broken = !names.is_empty();
+        let breaks = if broken { format!("   BREAKS {}", names.join(", ")) } else { String::new() };
+        say!("{number:>4}  {step}{breaks}");
+    };
+    with_config!(&config, world => trace.replay(world, each).map(|_| ()))?;
+    Ok(if broken { BROKEN } else { 0 })
 }
--- a/crates/checker/src/configs.rs
+++ b/crates/checker/src/configs.rs
@@ -2,6 +2,8 @@
 
 use tulipbridge_core::{Class, Group, Plan, Semantics, Settings};
 
+use crate::entrance::Entrance;
+use crate::explore::Explored;
 use crate::world::{Ask, Mode, News, Trouble, World, MS};
 
 const READ: usize = 0;
@@ -97,14 +99,112 @@
     }
 }
 
+/// A configuration, of either world. A dozen of them exist, so that their size matters little.
+#[allow(clippy::large_enum_variant)]
+#[derive(Clone, Debug)]
+pub enum Config {
+    /// Requests, attempts and nodes.
+    Front(World),
+    /// Clients' connections.
+    Entrance(Entrance),
+}
+
+/// Does the same with a configuration of either world.
+#[macro_export]
+macro_rules! with_config {
+    ($config:expr, $world:ident => $body:expr) => {
+        match $config {
+            $crate::configs::Config::Front($world) => $body,
+            $crate::configs::Config::Entrance($world) => $body,
+        }
+    };
+}
+
+impl Config {
+    /// Its name in commands.
+    pub fn name(&self) -> &'static str {
+        with_config!(self, world => world.name())
+    }
+
+    /// What it is about.
+    pub fn about(&self) -> &'static str {
+        with_config!(self, world => world.about())
+    }
+
+    /// Whether it is part of the quick run.
+    pub fn is_quick(&self) -> bool {
+        with_config!(self, world => world.is_quick())
+    }
+}
+
 /// All configurations, the smallest first.
-pub fn all() -> Vec<World> {
+pub fn all() -> Vec<Config> {
+    let mut all = entrances();
+    all.extend(fronts().into_iter().map(Config::Front));
+    all
+}
+
+fn entrances() -> Vec<Config> {
+    let entrance = |name, about, clients| Entrance {
+        name,
+        about,
+        clients,
+        requests: 2,
+        places: (2, 1),
+        steps: 4,
+        leaves: false,
+        quick: true,
+    };
+    vec![
+        Config::Entrance(Entrance {
+            requests: 1,
+            leaves: true,
+            steps: 1,
+            ..entrance("leave", "two clients and SIGTERM", 2)
+        }),
+        Config::Entrance(Entrance { steps: 3, ..entrance("door", "two clients with two requests each", 2) }),
+        Config::Entrance(Entrance {
+            requests: 1,
+            places: (1, 1),
+            steps: 2,
+            ..entrance("crowd", "three clients at one place, and one more that is turned away", 3)
+        }),
+    ]
+}
+
+fn fronts() -> Vec<World> {
     let (read, submit) = (ask(READ, Some(0)), ask(SUBMIT, None));
     let (mut tries, mut once) = (settings(), settings());
     tries.most_tries = 3;
     once.most_tries = 1;
+    // The smallest first: what a search finds, it finds soonest there.
     vec![
         world("submit", "one submit, two nodes, any decisions", Mode::Any, vec![submit]),
+        World {
+            troubles: 3,
+            ..world("module-submit", "one submit, two nodes, the module", Mode::Module, vec![submit])
+        },
+        World {
+            troubles: 3,
+            ..world("module-read", "one read, two nodes, the module", Mode::Module, vec![read])
+        },
+        World {
+            troubles: 1,
+            kinds: WAY,
+            news: vec![News::Drains(0), News::TakesOver(2, 0), News::Gone(0)],
+            ..world(
+                "module-drain",
+                "a node hands its cell to a cold one while a read is anywhere",
+                Mode::Module,
+                vec![read],
+            )
+        },
+        World {
+            kinds: WAY,
+            troubles: 1,
+            news: vec![News::Drains(0), News::Gone(0)],
+            ..world("drain", "a node drains and goes while a submit is anywhere", Mode::Any, vec![submit])
+        },
         world("read", "one read, two nodes, any decisions", Mode::Any, vec![read]),
         World {
             nodes: 1,
@@ -113,19 +213,12 @@
             settings: once.clone(),
             ..world("reuse", "two reads in a row over kept connections", Mode::Any, vec![read, read])
         },
-        World {
-            nodes: 1,
-            kinds: WAY,
-            troubles: 1,
-            connections: 1,
-            ..world("cap", "a read and a submit over one connection", Mode::Any, vec![read, submit])
-        },
         World {
             nodes: 1,
             kinds: KEPT,
             troubles: 1,
             in_turn: true,
-            settings: once,
+            settings: once.clone(),
             news: vec![News::Moves(0), News::Gone(0)],
             ..world(
                 "move",
@@ -135,32 +228,15 @@
             )
         },
         World {
+            nodes: 1,
             kinds: WAY,
             troubles: 1,
-            news: vec![News::Drains(0), News::Gone(0)],
-            ..world("drain", "a node drains and goes while a submit is anywhere", Mode::Any, vec![submit])
-        },
-        World {
-            troubles: 3,
-            ..world("module-submit", "one submit, two nodes, the module", Mode::Module, vec![submit])
-        },
-        World {
-            troubles: 3,
-            ..world("module-read", "one read, two nodes, the module", Mode::Module, vec![read])
+            connections: 1,
+            ..world("cap", "a read and a submit over one connection", Mode::Any, vec![read, submit])
         },
         World {
             troubles: 1,
-            kinds: WAY,
-            news: vec![News::Drains(0), News::TakesOver(2, 0), News::Gone(0)],
-            ..world(
-                "module-drain",
-                "a node hands its cell to a cold one while a read is anywhere",
-                Mode::Module,
-                vec![read],
-            )
-        },
-        World {
-            troubles: 2,
+            settings: once.clone(),
             kinds: WAY,
             quick: false,
             ..world("two", "a read and a submit, two nodes, any decisions", Mode::Any, vec![read, submit])
@@ -212,6 +288,6 @@
 }
 
 /// The configuration of that name.
-pub fn named(name: &str) -> Option<World> {
-    all().into_iter().chain([large()]).find(|w| w.name == name)
+pub fn named(name: &str) -> Option<Config> {
+    all().into_iter().chain([Config::Front(large())]).find(|c| c.name() == name)
 }
--- a/crates/checker/src/explore.rs
+++ b/crates/checker/src/explore.rs
@@ -1,34 +1,68 @@
 //! The search: breadth first over every reachable state, so that what it finds it finds by a shortest history.
 
+use std::fmt::{Debug, Display};
+use std::hash::Hash;
 use std::num::NonZeroUsize;
 use std::time::{Duration, Instant};
 
 use serde::Serialize;
 use stateright::{Checker, HasDiscoveries, Model};
 
-use crate::properties;
+use crate::properties::{self, Broken};
 use crate::trace::Trace;
-use crate::world::{State, Step, World};
 
-impl Model for World {
-    type State = State;
-    type Action = Step;
+/// A world that can be explored: what it begins with, what may come next, and what that leads to.
+pub trait Explored: Clone + Send + Sync + 'static {
+    /// A state of it. Two of one hash are taken for one.
+    type State: Clone + Debug + Hash + PartialEq + Send + Sync + 'static;
+    /// A step from one state to the next; its text names it among all that may come.
+    type Step: Clone + Debug + Display + PartialEq + Send + Sync + 'static;
 
-    fn init_states(&self) -> Vec<State> {
-        vec![self.begin()]
+    /// Its name in commands.
+    fn name(&self) -> &'static str;
+    /// What it is about.
+    fn about(&self) -> &'static str;
+    /// Whether it is part of the quick run.
+    fn is_quick(&self) -> bool;
+    /// What everything begins with.
+    fn begin(&self) -> Self::State;
+    /// Everything that may come next.
+    fn next(&self, state: &Self::State, steps: &mut Vec<Self::Step>);
+    /// The state after a step, which is one that `next` gave.
+    fn after(&self, last: &Self::State, step: &Self::Step) -> Self::State;
+    /// The properties broken on the way to a state.
+    fn broken<'a>(&self, state: &'a Self::State) -> &'a Broken;
+
+    /// Their names.
+    fn broken_names(&self, state: &Self::State) -> Vec<&'static str> {
+        let broken = self.broken(state);
+        properties::ALL.iter().filter(|p| (p.is_broken)(broken)).map(|p| p.name).collect()
+    }
+}
+
+/// A world as the search knows it.
+struct Searched<W>(W);
+
+impl<W: Explored> Model for Searched<W> {
+    type State = W::State;
+    type Action = W::Step;
+
+    fn init_states(&self) -> Vec<W::State> {
+        vec![self.0.begin()]
     }
 
-    fn actions(&self, state: &State, actions: &mut Vec<Step>) {
-        self.next(state, actions);
+    fn actions(&self, state: &W::State, actions: &mut Vec<W::Step>) {
+        self.0.next(state, actions);
     }
 
-    fn next_state(&self, last: &State, step: Step) -> Option<State> {
-        Some(self.after(last, &step))
+    fn next_state(&self, last: &W::State, step: W::Step) -> Option<W::State> {
+        Some(self.0.after(last, &step))
     }
 
-    fn properties(&self) -> Vec<stateright::Property<World>> {
+    fn properties(&self) -> Vec<stateright::Property<Self>> {
         // One for all: which of ours is broken stands in the state, and the search ends at the first.
-        vec![stateright::Property::always("rules", |_, state: &State| !state.broken.any())]
+        let holds = |searched: &Self, state: &W::State| !searched.0.broken(state).any();
+        vec![stateright::Property::always("rules", holds)]
     }
 }
 
@@ -65,11 +99,14 @@
 }
 
 /// Searches a configuration; `progress` is told of unique states now and then.
-pub fn explore(world: World, bounds: Bounds, mut progress: impl FnMut(usize, usize)) -> Report {
-    let (config, began) = (world.name, Instant::now());
+pub fn explore<W: Explored>(world: W, bounds: Bounds, mut progress: impl FnMut(usize, usize)) -> Report {
+    let (config, began) = (world.name(), Instant::now());
     let copy = world.clone();
-    let search =
-        world.checker().threads(bounds.threads.get()).finish_when(HasDiscoveries::Any).timeout(bounds.time);
+    let search = Searched(world)
+        .checker()
+        .threads(bounds.threads.get())
+        .finish_when(HasDiscoveries::Any)
+        .timeout(bounds.time);
     let search = search.spawn_bfs();
     let mut out_of_memory = false;
     while !search.is_done() {
@@ -98,7 +135,7 @@
 }
 
 /// A random history of at most so many steps, the same every time for a seed; ends where a property breaks.
-pub fn walk(world: &World, seed: u64, most: usize) -> Vec<Step> {
+pub fn walk<W: Explored>(world: &W, seed: u64, most: usize) -> Vec<W::Step> {
     let mut random = fastrand::Rng::with_seed(seed);
     let (mut state, mut taken, mut steps) = (world.begin(), Vec::new(), Vec::new());
     while taken.len() < most {
@@ -107,18 +144,13 @@
         let Some(step) = random.choice(&steps).cloned() else { break };
         state = world.after(&state, &step);
         taken.push(step);
-        if state.broken.any() {
+        if world.broken(&state).any() {
             break;
         }
     }
     taken
 }
 
-/// The names of the properties that a state has broken.
-pub fn broken(state: &State) -> Vec<&'static str> {
-    properties::ALL.iter().filter(|p| (p.is_broken)(&state.broken)).map(|p| p.name).collect()
-}
-
 /// Resident memory of this process, in MB; 0 where the system does not tell.
 pub fn memory_mb() -> u64 {
     let told = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
--- a/crates/checker/src/properties.rs
+++ b/crates/checker/src/properties.rs
@@ -73,6 +73,18 @@
         "No attempt is given more time than its client has.";
     left_at_rest, "nothing-left-at-rest", "13.1",
         "Once every client is answered or gone and nothing is out, nothing is held or queued and every connection is quiet.";
+    too_many_visitors, "places-capped", "limits",
+        "No more clients' connections are held than there are places, those turned away included.";
+    open_request_cut, "open-request-kept", "13.1",
+        "No connection is closed by the front while a request on it is being answered.";
+    closed_across_request, "no-close-across-request", "PROTOCOL",
+        "No idle connection is closed on which a request has come, unless the front is leaving.";
+    stranger_kept, "strangers-end", "LATER",
+        "Who sends no whole request in its time is closed; a body does not begin that time anew.";
+    left_with_open_request, "taken-answered-before-exit", "13.1",
+        "After SIGTERM the front ends only once nothing is open, or when its time is up.";
+    leaves_too_late, "leaves-in-time", "PROTOCOL",
+        "After SIGTERM the front ends in its time, whatever clients do.";
     panicked, "never-panics", "house",
         "No order of events makes the front panic.";
 }
--- a/crates/checker/src/trace.rs
+++ b/crates/checker/src/trace.rs
@@ -5,9 +5,8 @@
 
 use serde::Serialize;
 
-use crate::configs;
-use crate::explore::broken;
-use crate::world::{State, Step, World};
+use crate::configs::{self, Config};
+use crate::explore::Explored;
 
 const FIRST_LINE: &str = "tulipbridge-check trace 1";
 
@@ -63,21 +62,21 @@
 
 impl Trace {
     /// Of steps that can be taken one after another.
-    pub fn of(world: &World, steps: &[Step]) -> Trace {
+    pub fn of<W: Explored>(world: &W, steps: &[W::Step]) -> Trace {
         let mut state = world.begin();
         for step in steps {
             state = world.after(&state, step);
         }
-        let breaks = broken(&state).into_iter().map(str::to_owned).collect();
-        let steps = steps.iter().map(Step::to_string).collect();
-        Trace { config: world.name.to_owned(), breaks, steps }
+        let breaks = world.broken_names(&state).into_iter().map(str::to_owned).collect();
+        let steps = steps.iter().map(W::Step::to_string).collect();
+        Trace { config: world.name().to_owned(), breaks, steps }
     }
 
     /// Reads a file.
     ///
     /// # Errors
     /// Where it cannot be read, or is no history of a known configuration.
-    pub fn read(path: &Path) -> Result<(World, Trace), TraceError> {
+    pub fn read(path: &Path) -> Result<(Config, Trace), TraceError> {
         let text = std::fs::read_to_string(path)
             .map_err(|source| TraceError::Read { path: path.to_owned(), source })?;
         let mut lines = text.lines();
@@ -92,7 +91,7 @@
             let found = second.chars().take(60).collect();
             TraceError::Config { path: path.to_owned(), found }
         })?;
-        let mut trace = Trace { config: world.name.to_owned(), breaks: Vec::new(), steps: Vec::new() };
+        let mut trace = Trace { config: world.name().to_owned(), breaks: Vec::new(), steps: Vec::new() };
         for line in lines.map(str::trim).filter(|l| !l.is_empty()) {
             match line.strip_prefix("breaks ") {
                 Some(name) => trace.breaks.push(name.to_owned()),
@@ -106,7 +105,11 @@
     ///
     /// # Errors
     /// Where a step cannot come when it is told to.
-    pub fn replay(&self, world: &World, mut each: impl FnMut(&str, &[&str])) -> Result<State, TraceError> {
+    pub fn replay<W: Explored>(
+        &self,
+        world: &W,
+        mut each: impl FnMut(&str, &[&str]),
+    ) -> Result<W::State, TraceError> {
         let (mut state, mut steps) = (world.begin(), Vec::new());
         for (i, line) in self.steps.iter().enumerate() {
             steps.clear();
@@ -117,7 +120,7 @@
                 enabled: steps.len(),
             })?;
             state = world.after(&state, step);
-            each(line, &broken(&state));
+            each(line, &world.broken_names(&state));
         }
         Ok(state)
     }
@@ -133,21 +136,18 @@
     }
 }
 
-/// Leaves out of a history whatever is not needed for it to break the first property that it breaks.
-pub fn shrink(world: &World, steps: &[Step]) -> Vec<Step> {
-    let aim = played(world, steps).1;
-    let mut kept = steps.to_vec();
+/// Leaves out of a history whatever is not needed for it to come to a state that is wanted.
+pub fn shrink<W: Explored>(world: &W, steps: &[W::Step], wanted: impl Fn(&W::State) -> bool) -> Vec<W::Step> {
+    let mut kept = played(world, steps, &wanted).unwrap_or_else(|| steps.to_vec());
     let mut part = kept.len().max(1) / 2;
     while part > 0 {
         let mut from = 0;
         while from < kept.len() {
-            let without: Vec<Step> =
-                kept[..from].iter().chain(&kept[(from + part).min(kept.len())..]).cloned().collect();
-            let (shorter, breaks) = played(world, &without);
-            if !aim.is_empty() && breaks == aim {
-                kept = shorter;
-            } else {
-                from += part;
+            let rest = &kept[(from + part).min(kept.len())..];
+            let without: Vec<W::Step> = kept[..from].iter().chain(rest).cloned().collect();
+            match played(world, &without, &wanted) {
+                Some(shorter) => kept = shorter,
+                None => from += part,
             }
         }
         part /= 2;
@@ -155,8 +155,12 @@
     kept
 }
 
-/// Plays what of a history can come, up to where a property breaks.
-fn played(world: &World, steps: &[Step]) -> (Vec<Step>, Vec<&'static str>) {
+/// Plays what of a history can come, up to a state that is wanted, if it comes to one.
+fn played<W: Explored>(
+    world: &W,
+    steps: &[W::Step],
+    wanted: &impl Fn(&W::State) -> bool,
+) -> Option<Vec<W::Step>> {
     let (mut state, mut taken, mut may) = (world.begin(), Vec::new(), Vec::new());
     for step in steps {
         may.clear();
@@ -165,10 +169,9 @@
             state = world.after(&state, step);
             taken.push(step.clone());
         }
-        if state.broken.any() {
-            break;
+        if wanted(&state) {
+            return Some(taken);
         }
     }
-    let breaks = broken(&state);
-    (taken, breaks)
+    None
 }
--- a/crates/checker/src/world.rs
+++ b/crates/checker/src/world.rs
@@ -15,6 +15,7 @@
     Settings,
 };
 
+use crate::explore::Explored;
 use crate::judge::Judge;
 use crate::properties::Broken;
 
@@ -308,9 +309,27 @@
     }
 }
 
-impl World {
-    /// The state that everything begins with.
-    pub fn begin(&self) -> State {
+impl Explored for World {
+    type State = State;
+    type Step = Step;
+
+    fn name(&self) -> &'static str {
+        self.name
+    }
+
+    fn about(&self) -> &'static str {
+        self.about
+    }
+
+    fn is_quick(&self) -> bool {
+        self.quick
+    }
+
+    fn broken<'a>(&self, state: &'a State) -> &'a Broken {
+        &state.broken
+    }
+
+    fn begin(&self) -> State {
         let judge = match self.mode {
             Mode::Any => Judge::any(),
             Mode::Module => {
@@ -345,8 +364,7 @@
         state
     }
 
-    /// Everything that may come next.
-    pub fn next(&self, state: &State, steps: &mut Vec<Step>) {
+    fn next(&self, state: &State, steps: &mut Vec<Step>) {
         if state.broken.any() {
             return;
         }
@@ -417,6 +435,22 @@
         }
     }
 
+    fn after(&self, last: &State, step: &Step) -> State {
+        let taken = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+            let mut state = last.clone();
+            state.take(self, step);
+            state.look(self);
+            state
+        }));
+        taken.unwrap_or_else(|_| {
+            let mut state = last.clone();
+            state.broken.panicked = true;
+            state
+        })
+    }
+}
+
+impl World {
     fn next_on_wire(
         &self,
         state: &State,
@@ -501,21 +535,6 @@
         2 * self.step
     }
 
-    /// The state after a step; the step is one that [`World::next`] gave.
-    pub fn after(&self, last: &State, step: &Step) -> State {
-        let taken = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
-            let mut state = last.clone();
-            state.take(self, step);
-            state.look(self);
-            state
-        }));
-        taken.unwrap_or_else(|_| {
-            let mut state = last.clone();
-            state.broken.panicked = true;
-            state
-        })
-    }
-
     /// The request of a client.
     fn request(&self, client: usize, id: ReqId) -> Request {
         let Ask { class, cell, patience } = self.asks[client];
@@ -997,6 +1016,11 @@
         }
     }
 
+    /// How many clients have their answer.
+    pub fn answered_clients(&self) -> usize {
+        self.clients.iter().filter(|c| matches!(c, Client::Answered(_))).count()
+    }
+
     /// Whether a request is waiting, or anything is out.
     fn is_busy(&self) -> bool {
         let waits = |c: &Client| matches!(c, Client::Waits { .. });
--- /dev/null
+++ b/crates/core/src/door.rs
@@ -0,0 +1,302 @@
+//! Clients' connections: what each is about, who has a place, who gives his up, and leaving in order.
+//!
+//! [`Visitor`] is one connection, [`Door`] the places for all, [`Leaving`] the end of the front after SIGTERM.
+//! None of them does I/O; the listener tells them what happens and carries out what they say.
+
+use crate::interface::Nanos;
+use crate::seeded::{seeded, Bug};
+
+const MS: Nanos = 1_000_000;
+/// From connecting until the first request is whole: whoever sends what is no request learns so within 3 s.
+const FIRST: Nanos = 2_700 * MS;
+/// From the first byte of a later request until it is whole.
+const LATER: Nanos = 6_000 * MS;
+/// A connection that stands idle for so long is closed, needed or not.
+const IDLE: Nanos = 60_000 * MS;
+/// Where places are short, they are taken from connections that have said nothing for the first, stood idle after
+/// an answer for the second, are in the middle of a request for the third, or else stand idle at all.
+const SILENT: Nanos = 100 * MS;
+const IDLE_SHORT: Nanos = 2_000 * MS;
+const HALF: Nanos = 500 * MS;
+/// After SIGTERM new connections are taken until none has come for the first, for no less than the second and no
+/// more than the third; clients learn of a restart that late.
+const QUIET: Nanos = 200 * MS;
+const TAKE_LEAST: Nanos = 450 * MS;
+const TAKE_MOST: Nanos = 650 * MS;
+/// All that was taken is answered by this time after SIGTERM, well before the kill.
+const END: Nanos = 3_400 * MS;
+/// How often the front looks whether it may end, and for how many looks in a row nothing must be open: a request
+/// may be on its way into this process still, while a connection that is idle closes by itself.
+const LOOK: Nanos = 20 * MS;
+const LOOKS: u32 = 10;
+
+/// What a connection is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Phase {
+    /// Nothing has come yet.
+    Silent,
+    /// A head has begun.
+    Head,
+    /// A body is awaited.
+    Body,
+    /// A request is being answered.
+    Open,
+    /// Its last request has been answered.
+    Idle,
+    /// It is over; what is still on its way is read and dropped.
+    Closing,
+}
+
+/// What happens on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum OnVisitor {
+    /// Bytes of a head came.
+    Head,
+    /// A head is whole, its body is not.
+    Body,
+    /// A request is whole.
+    Taken,
+    /// Its answer is handed over, or given up.
+    Answered,
+    /// This side has ended it.
+    Ended,
+}
+
+/// A client's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Visitor {
+    phase: Phase,
+    since: Nanos,
+    came: Nanos,
+    /// Whether a request on it has been answered.
+    spoken: bool,
+}
+
+impl Visitor {
+    /// One that has just connected.
+    pub fn new(now: Nanos) -> Visitor {
+        Visitor { phase: Phase::Silent, since: now, came: now, spoken: false }
+    }
+
+    /// What it is about, and since when.
+    pub fn phase(&self) -> (Phase, Nanos) {
+        (self.phase, self.since)
+    }
+
+    /// When it came.
+    pub fn came(&self) -> Nanos {
+        self.came
+    }
+
+    /// Takes what has happened. The time of a request runs on from its head to its body.
+    pub fn on(&mut self, now: Nanos, event: OnVisitor) {
+        let phase = match event {
+            OnVisitor::Head => Phase::Head,
+            OnVisitor::Body => Phase::Body,
+            OnVisitor::Taken => Phase::Open,
+            OnVisitor::Answered => Phase::Idle,
+            OnVisitor::Ended => Phase::Closing,
+        };
+        let restarts = phase != Phase::Body || seeded(Bug::BodyRestartsTime);
+        if restarts && phase != self.phase {
+            self.since = now;
+        }
+        self.spoken |= phase == Phase::Idle;
+        self.phase = phase;
+    }
+
+    /// When the present request must have come whole.
+    pub fn limit(&self) -> Nanos {
+        if self.spoken {
+            self.since + LATER
+        } else {
+            self.came + FIRST
+        }
+    }
+
+    /// Whether its time is over, where places are short or not. Busy is one that closing would cross: a request
+    /// has come that nobody has read, or an answer is not read yet.
+    pub fn is_over(&self, now: Nanos, short: bool, busy: impl Fn() -> bool) -> bool {
+        let idle = if short { IDLE_SHORT } else { IDLE };
+        match self.phase {
+            Phase::Silent | Phase::Head => now >= self.limit(),
+            Phase::Idle => now - self.since >= idle && (!busy() || seeded(Bug::ClosesAcrossRequest)),
+            // These are bounded where they are awaited.
+            Phase::Body | Phase::Open | Phase::Closing => false,
+        }
+    }
+
+    /// How soon it gives its place up, the lowest first; none where it may be kept. With `idle` only connections
+    /// that stand idle are asked for.
+    fn rank(&self, now: Nanos, idle: bool) -> Option<u8> {
+        let age = now - self.since;
+        match self.phase {
+            Phase::Idle if age >= IDLE_SHORT => Some(2),
+            // A crowd of clients that ask once each: a new one has more use for the place.
+            Phase::Idle if age >= SILENT || !idle => Some(4),
+            Phase::Closing if !idle => Some(0),
+            Phase::Silent if !idle && age >= SILENT => Some(1),
+            Phase::Head | Phase::Body if !idle && age >= HALF => Some(3),
+            Phase::Open if !idle && seeded(Bug::OpenGivesWay) => Some(5),
+            _ => None,
+        }
+    }
+}
+
+/// The places for clients' connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Door {
+    most: usize,
+    /// Connections past the cap that may stand at once to be told so; more wait to be accepted.
+    turned_away: usize,
+}
+
+/// What is done before one more connection is accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Accept {
+    /// Nothing: there is room.
+    Now,
+    /// One that stands idle is sent off, if there is one.
+    SendIdleOff,
+    /// One that may be spared is sent off, if there is one.
+    SendOneOff,
+    /// It waits until another has gone.
+    Wait,
+}
+
+impl Door {
+    /// With at most so many connections, those past the cap that stand to be told so included.
+    pub fn new(most: usize, turned_away: usize) -> Door {
+        Door { most: most.saturating_sub(turned_away).max(1), turned_away }
+    }
+
+    /// Whether places are short.
+    pub fn is_short(&self, held: usize) -> bool {
+        held >= self.most / 2
+    }
+
+    /// Whether one that comes now finds no place, and is told so.
+    pub fn is_full(&self, held: usize) -> bool {
+        held >= self.most
+    }
+
+    /// What is done next before one more is accepted. `tried` is what was done last for it, and whether somebody
+    /// went; none at first, and again after a wait.
+    ///
+    /// Clients, too, may hold only so many connections, and those that ask once and stay use them up before ours
+    /// are: from half of the places on, each new one sends an idle one off.
+    pub fn accept(&self, held: usize, tried: Option<(Accept, bool)>) -> Accept {
+        let idle_asked = tried.is_some();
+        let more_to_send = !matches!(tried, Some((Accept::SendOneOff, false)));
+        if self.is_short(held) && !idle_asked {
+            Accept::SendIdleOff
+        } else if self.is_full(held) && more_to_send {
+            Accept::SendOneOff
+        } else if held < self.most + self.turned_away || seeded(Bug::NoCapAtDoor) {
+            Accept::Now
+        } else {
+            Accept::Wait
+        }
+    }
+
+    /// Who gives his place up, if anybody may be spared: guards the usual clients against those that connect by
+    /// hundreds, and against idle connections that are kept for good. An open request never gives way.
+    pub fn gives_way(
+        &self,
+        now: Nanos,
+        idle: bool,
+        visitors: impl Iterator<Item = (u64, Visitor)>,
+        busy: impl Fn(u64) -> bool,
+    ) -> Option<u64> {
+        let mut least: Vec<_> =
+            visitors.filter_map(|(n, v)| Some((v.rank(now, idle)?, v.since, n))).collect();
+        least.sort_unstable();
+        least.into_iter().map(|(_, _, n)| n).find(|n| seeded(Bug::ClosesAcrossRequest) || !busy(*n))
+    }
+}
+
+/// The end of a front after SIGTERM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Leaving {
+    told: Nanos,
+    /// Looks in a row at which nothing was open.
+    quiet: u32,
+    stage: Stage,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Stage {
+    Taking,
+    Draining,
+    Over,
+}
+
+/// What happens while a front leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum OnLeaving {
+    /// A connection was accepted.
+    Accepted,
+    /// None came for as long as [`Leave::Take`] said.
+    NoneCame,
+    /// The front looks at what it holds.
+    Look {
+        /// Connections.
+        held: usize,
+        /// Requests that are being answered.
+        open: usize,
+    },
+}
+
+/// What a front that leaves does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Leave {
+    /// Accept what comes within this time.
+    Take(Nanos),
+    /// Accept what waits already, close the socket, tell connections to end with their present answer.
+    Close,
+    /// Look again after this time.
+    Wait(Nanos),
+    /// End.
+    Exit,
+}
+
+impl Leaving {
+    /// Told to leave now: new connections go on coming until clients learn of the restart, and what they carry
+    /// counts as taken.
+    pub fn new(now: Nanos) -> (Leaving, Leave) {
+        (Leaving { told: now, quiet: 0, stage: Stage::Taking }, Leave::Take(QUIET))
+    }
+
+    /// Looks in a row at which nothing was open.
+    pub fn quiet(&self) -> u32 {
+        self.quiet
+    }
+
+    /// Takes what has happened and says what is done next.
+    pub fn on(&mut self, now: Nanos, event: OnLeaving) -> Leave {
+        let since = now - self.told;
+        match (self.stage, event) {
+            (Stage::Taking, OnLeaving::Accepted | OnLeaving::NoneCame) => {
+                let none = event == OnLeaving::NoneCame;
+                if since >= TAKE_MOST || (none && since >= TAKE_LEAST) {
+                    self.stage = Stage::Draining;
+                    Leave::Close
+                } else {
+                    Leave::Take(QUIET)
+                }
+            }
+            (Stage::Draining, OnLeaving::Look { held, open }) => {
+                self.quiet = if open == 0 || seeded(Bug::LeavesOpenRequests) { self.quiet + 1 } else { 0 };
+                if held == 0 || self.quiet > LOOKS || since >= END {
+                    self.stage = Stage::Over;
+                    Leave::Exit
+                } else {
+                    Leave::Wait(LOOK)
+                }
+            }
+            (Stage::Over, _) => Leave::Exit,
+            (Stage::Taking, _) => Leave::Take(QUIET),
+            (Stage::Draining, _) => Leave::Wait(LOOK),
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 //! ```
 
 pub mod desk;
+pub mod door;
 mod interface;
 pub mod link;
 mod policy;
--- a/crates/core/src/seeded.rs
+++ b/crates/core/src/seeded.rs
@@ -61,38 +61,62 @@
     GoneNotFinished,
     /// A node keeps an attempt that has ended among those out to it.
     OutKeepsEnded,
+    /// The time of a request begins anew with its body.
+    BodyRestartsTime,
+    /// A connection is closed though a request has come on it.
+    ClosesAcrossRequest,
+    /// A connection with an open request gives its place up.
+    OpenGivesWay,
+    /// Clients' connections are accepted past the cap.
+    NoCapAtDoor,
+    /// The front ends while requests are open.
+    LeavesOpenRequests,
+}
+
+/// Which of the machines a bug is in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Clients' connections.
+    Door,
+    /// Requests, attempts, connections to nodes, decisions.
+    Front,
 }
 
 /// All of them, with the name that commands use.
-pub const ALL: &[(Bug, &str)] = &[
-    (Bug::LastByteAtHandOver, "last-byte-at-hand-over"),
-    (Bug::LastByteNotSeen, "last-byte-not-seen"),
-    (Bug::EarlyAnswerTaken, "early-answer-taken"),
-    (Bug::PartlySentGoesRound, "partly-sent-goes-round"),
-    (Bug::ResentSilently, "resent-silently"),
-    (Bug::ResetTakenForRefusal, "reset-taken-for-refusal"),
-    (Bug::WritesOverWaitingBytes, "writes-over-waiting-bytes"),
-    (Bug::IdleForTooLong, "idle-for-too-long"),
-    (Bug::KeptForAnotherAddress, "kept-for-another-address"),
-    (Bug::NoCapOnConnections, "no-cap-on-connections"),
-    (Bug::CancelProvesNothingRan, "cancel-proves-nothing-ran"),
-    (Bug::AnswerToClientThatLeft, "answer-to-client-that-left"),
-    (Bug::LeftChargedForEver, "left-charged-for-ever"),
-    (Bug::SecondFinalAnswer, "second-final-answer"),
-    (Bug::PlacedAfterAnswer, "placed-after-answer"),
-    (Bug::AttemptLeftInTable, "attempt-left-in-table"),
-    (Bug::ReleasedWhileOut, "released-while-out"),
-    (Bug::TimeUpProvesNothingRan, "time-up-proves-nothing-ran"),
-    (Bug::UntilPastClient, "until-past-client"),
-    (Bug::DialFailureInDoubt, "dial-failure-in-doubt"),
-    (Bug::ForgottenNodeKeepsConnections, "forgotten-node-keeps-connections"),
-    (Bug::DrainMissesQueued, "drain-misses-queued"),
-    (Bug::RepeatsSubmit, "repeats-submit"),
-    (Bug::RefusesSubmitInDoubt, "refuses-submit-in-doubt"),
-    (Bug::TriesUnbounded, "tries-unbounded"),
-    (Bug::QueueKeepsFinished, "queue-keeps-finished"),
-    (Bug::GoneNotFinished, "gone-not-finished"),
-    (Bug::OutKeepsEnded, "out-keeps-ended"),
+pub const ALL: &[(Bug, &str, Part)] = &[
+    (Bug::LastByteAtHandOver, "last-byte-at-hand-over", Part::Front),
+    (Bug::LastByteNotSeen, "last-byte-not-seen", Part::Front),
+    (Bug::EarlyAnswerTaken, "early-answer-taken", Part::Front),
+    (Bug::PartlySentGoesRound, "partly-sent-goes-round", Part::Front),
+    (Bug::ResentSilently, "resent-silently", Part::Front),
+    (Bug::ResetTakenForRefusal, "reset-taken-for-refusal", Part::Front),
+    (Bug::WritesOverWaitingBytes, "writes-over-waiting-bytes", Part::Front),
+    (Bug::IdleForTooLong, "idle-for-too-long", Part::Front),
+    (Bug::KeptForAnotherAddress, "kept-for-another-address", Part::Front),
+    (Bug::NoCapOnConnections, "no-cap-on-connections", Part::Front),
+    (Bug::CancelProvesNothingRan, "cancel-proves-nothing-ran", Part::Front),
+    (Bug::AnswerToClientThatLeft, "answer-to-client-that-left", Part::Front),
+    (Bug::LeftChargedForEver, "left-charged-for-ever", Part::Front),
+    (Bug::SecondFinalAnswer, "second-final-answer", Part::Front),
+    (Bug::PlacedAfterAnswer, "placed-after-answer", Part::Front),
+    (Bug::AttemptLeftInTable, "attempt-left-in-table", Part::Front),
+    (Bug::ReleasedWhileOut, "released-while-out", Part::Front),
+    (Bug::TimeUpProvesNothingRan, "time-up-proves-nothing-ran", Part::Front),
+    (Bug::UntilPastClient, "until-past-client", Part::Front),
+    (Bug::DialFailureInDoubt, "dial-failure-in-doubt", Part::Front),
+    (Bug::ForgottenNodeKeepsConnections, "forgotten-node-keeps-connections", Part::Front),
+    (Bug::DrainMissesQueued, "drain-misses-queued", Part::Front),
+    (Bug::RepeatsSubmit, "repeats-submit", Part::Front),
+    (Bug::RefusesSubmitInDoubt, "refuses-submit-in-doubt", Part::Front),
+    (Bug::TriesUnbounded, "tries-unbounded", Part::Front),
+    (Bug::QueueKeepsFinished, "queue-keeps-finished", Part::Front),
+    (Bug::GoneNotFinished, "gone-not-finished", Part::Front),
+    (Bug::OutKeepsEnded, "out-keeps-ended", Part::Front),
+    (Bug::BodyRestartsTime, "body-restarts-time", Part::Door),
+    (Bug::ClosesAcrossRequest, "closes-across-request", Part::Door),
+    (Bug::OpenGivesWay, "open-gives-way", Part::Door),
+    (Bug::NoCapAtDoor, "no-cap-at-door", Part::Door),
+    (Bug::LeavesOpenRequests, "leaves-open-requests", Part::Door),
 ];
 
 #[cfg(feature = "seeded")]
--- a/src/framing.rs
+++ b/src/framing.rs
@@ -16,39 +16,18 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tulipbridge_core::door::{OnVisitor, Phase, Visitor};
+use tulipbridge_core::Nanos;
 
 /// Bytes of a head; what is longer is answered 431.
 pub const MOST_HEAD: usize = 16 * 1024;
 /// Fields of a head, as hyper takes them.
 const MOST_FIELDS: usize = 100;
-/// From connecting until the first request is whole: whoever sends what is no request learns so within 3 s.
-const FIRST: Duration = Duration::from_millis(2700);
-/// From the first byte of a later request until it is whole.
-const LATER: Duration = Duration::from_secs(6);
-
-/// What a connection is about.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// Nothing has come yet.
-    Silent,
-    /// A head has begun.
-    Head,
-    /// A body is awaited.
-    Body,
-    /// A request is being answered.
-    Open,
-    /// Its last request has been answered.
-    Idle,
-    /// It is over; what is still on its way is read and dropped.
-    Closing,
-}
-
 /// What is known of a client's connection.
 pub struct Client {
-    phase: Cell<Phase>,
-    since: Cell<Instant>,
-    came: Instant,
-    spoken: Cell<bool>,
+    visitor: Cell<Visitor>,
+    /// From when its moments are counted.
+    began: Instant,
     fault: Cell<Option<StatusCode>>,
     last: Cell<bool>,
     /// Whether a part of an answer waits for the client to read.
@@ -60,14 +39,11 @@
 }
 
 impl Client {
-    /// One that has just connected.
-    pub fn new(socket: i32) -> Rc<Client> {
-        let now = Instant::now();
+    /// One that has just connected, on a socket, at a front that counts its time from `began`.
+    pub fn new(socket: i32, began: Instant) -> Rc<Client> {
         Rc::new(Client {
-            phase: Cell::new(Phase::Silent),
-            since: Cell::new(now),
-            came: now,
-            spoken: Cell::new(false),
+            visitor: Cell::new(Visitor::new(began.elapsed().as_nanos() as Nanos)),
+            began,
             fault: Cell::new(None),
             last: Cell::new(false),
             unread: Cell::new(false),
@@ -76,39 +52,37 @@
         })
     }
 
-    /// What it is about, and since when.
-    pub fn phase(&self) -> (Phase, Instant) {
-        (self.phase.get(), self.since.get())
+    /// What it is about.
+    pub fn visitor(&self) -> Visitor {
+        self.visitor.get()
     }
 
-    /// Says what it is about from now on. The time of a request runs on from its head to its body.
-    pub fn enter(&self, phase: Phase) {
-        if phase != Phase::Body && phase != self.phase.get() {
-            self.since.set(Instant::now());
-        }
-        self.spoken.set(self.spoken.get() || phase == Phase::Idle);
-        self.phase.set(phase);
+    /// Tells what has happened on it.
+    pub fn on(&self, event: OnVisitor) {
+        let mut visitor = self.visitor.get();
+        visitor.on(self.began.elapsed().as_nanos() as Nanos, event);
+        self.visitor.set(visitor);
     }
 
     /// When the present request must have come whole.
     pub fn limit(&self) -> Instant {
-        if self.spoken.get() {
-            self.since.get() + LATER
-        } else {
-            self.came + FIRST
-        }
+        self.began + Duration::from_nanos(self.visitor().limit().max(0) as u64)
     }
 
     /// Whether closing it now would cross a request that has come, or cut an answer off.
     pub fn is_busy(&self) -> bool {
         let peek = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
-        let idle = self.phase.get() == Phase::Idle;
+        let idle = self.phase() == Phase::Idle;
         idle && (self.unread.get() || recv(self.socket, &mut [0], peek).is_ok_and(|count| count > 0))
     }
 
     /// When it came.
     pub fn came(&self) -> Instant {
-        self.came
+        self.began + Duration::from_nanos(self.visitor().came().max(0) as u64)
+    }
+
+    fn phase(&self) -> Phase {
+        self.visitor().phase().0
     }
 
     /// What is wrong with how the present request is framed.
@@ -187,12 +161,12 @@
         match framing(&self.held[..self.free]) {
             Ok(Some(length)) => {
                 self.reading = Reading::Body(length);
-                self.client.enter(Phase::Body);
+                self.client.on(OnVisitor::Body);
                 self.whole_or(length, self.free);
             }
             Ok(None) => {
                 self.client.last.set(true);
-                self.client.enter(Phase::Body);
+                self.client.on(OnVisitor::Body);
                 self.reading = Reading::Rest;
             }
             Err(status) => {
@@ -210,7 +184,7 @@
         let left = left - come as u64;
         self.reading = if left == 0 { Reading::Whole } else { Reading::Body(left) };
         if left == 0 {
-            self.client.enter(Phase::Open);
+            self.client.on(OnVisitor::Taken);
             if self.held[self.free..].iter().any(|b| !matches!(b, b'\r' | b'\n')) {
                 self.client.fault.set(Some(StatusCode::BAD_REQUEST));
                 self.client.last.set(true);
@@ -243,7 +217,7 @@
                     if ready!(framed.more(cx))? == 0 {
                         return Poll::Ready(Ok(()));
                     }
-                    framed.client.enter(Phase::Head);
+                    framed.client.on(OnVisitor::Head);
                 }
                 Reading::Body(left) => {
                     if framed.held.is_empty() && ready!(framed.more(cx))? == 0 {
@@ -252,7 +226,7 @@
                     framed.whole_or(left, 0);
                 }
                 Reading::Whole => {
-                    if framed.answered && framed.client.phase.get() == Phase::Idle {
+                    if framed.answered && framed.client.phase() == Phase::Idle {
                         if framed.client.last.get() {
                             return Poll::Ready(Ok(()));
                         }
@@ -378,7 +352,7 @@
 impl Drop for Open {
     fn drop(&mut self) {
         self.count.set(self.count.get() - 1);
-        self.client.enter(Phase::Idle);
+        self.client.on(OnVisitor::Answered);
     }
 }
 
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -24,21 +24,16 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
-use crate::framing::{Answering, Client, Framed, Open, Phase, MOST_HEAD};
+use crate::framing::{Answering, Client, Framed, Open, MOST_HEAD};
 use crate::log::log;
 use crate::upstream::MOST_BODY;
+use tulipbridge_core::door::{Accept, Door, Leave, Leaving, OnLeaving, OnVisitor, Phase};
+use tulipbridge_core::Nanos;
 
-/// A connection that stands idle for so long is closed, needed or not.
-const IDLE: Duration = Duration::from_secs(60);
-/// Where places are short, they are taken from connections that have said nothing for the first, stood idle after
-/// an answer for the second, are in the middle of a request for the third, or else stand idle at all.
-const SILENT: Duration = Duration::from_millis(100);
-const IDLE_SHORT: Duration = Duration::from_secs(2);
-const HALF: Duration = Duration::from_millis(500);
-/// How often connections are looked at.
-const LOOK: Duration = Duration::from_millis(100);
 /// Connections past the cap that may stand at once to be told so; more wait to be accepted.
 const TURNED_AWAY: usize = 16;
+/// How often connections are looked at.
+const LOOK: Duration = Duration::from_millis(100);
 /// When a client that was turned away at the door may come back.
 const DOOR_WAIT: Duration = Duration::from_millis(250);
 /// A connection that this side has ended is read on for so long at the most, and no longer than the second
@@ -47,14 +42,6 @@
 const DRAIN_QUIET: Duration = Duration::from_millis(500);
 /// Bytes that are dropped at once.
 const DROPPED: usize = 64 * 1024;
-/// After SIGTERM new connections are taken until none has come for the first, for no less than the second and no
-/// more than the third; clients learn of a restart that late.
-const QUIET: Duration = Duration::from_millis(200);
-const TAKE_LEAST: Duration = Duration::from_millis(450);
-const TAKE_MOST: Duration = Duration::from_millis(650);
-/// All that was taken is answered by this time after SIGTERM, well before the kill.
-const END: Duration = Duration::from_millis(3400);
-
 /// An answer: whole, or passed on piece by piece.
 pub type Reply = Response<Either<Full<Bytes>, Channel<Bytes, io::Error>>>;
 
@@ -70,7 +57,8 @@
 /// A front's socket, its connections and its leaving.
 pub struct Listener<H> {
     handler: H,
-    most: usize,
+    door: Door,
+    began: Instant,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     next: Cell<u64>,
     said: Cell<Option<Instant>>,
@@ -84,7 +72,8 @@
     pub fn new(handler: H, most: usize) -> Rc<Listener<H>> {
         Rc::new(Listener {
             handler,
-            most: most.saturating_sub(TURNED_AWAY).max(1),
+            door: Door::new(most, TURNED_AWAY),
+            began: Instant::now(),
             clients: RefCell::default(),
             next: Cell::new(0),
             said: Cell::new(None),
@@ -101,25 +90,35 @@
             () = self.look() => {}
             () = signal => {}
         }
-        let told = Instant::now();
-        // New connections go on coming until clients learn of the restart, and what they carry counts as taken.
-        while told.elapsed() < TAKE_MOST {
-            let quiet = timeout(QUIET, self.accept_one(&listener)).await.is_err();
-            if quiet && told.elapsed() >= TAKE_LEAST {
-                break;
-            }
+        let (mut leaving, mut next) = Leaving::new(self.now());
+        loop {
+            next = match next {
+                Leave::Take(within) => {
+                    let took = timeout(duration(within), self.accept_one(&listener)).await;
+                    leaving
+                        .on(self.now(), if took.is_ok() { OnLeaving::Accepted } else { OnLeaving::NoneCame })
+                }
+                Leave::Close => break,
+                Leave::Wait(_) | Leave::Exit => return,
+            };
         }
         while timeout(Duration::ZERO, self.accept_one(&listener)).await.is_ok() {}
         drop(listener);
         self.leaving.send_replace(true);
-        // A request may be on its way into this process still; a connection that is idle closes by itself.
-        let mut idle = 0;
-        while self.held() > 0 && idle < 10 && told.elapsed() < END {
-            idle = if self.requests.get() == 0 { idle + 1 } else { 0 };
-            sleep(Duration::from_millis(20)).await;
+        loop {
+            let look = OnLeaving::Look { held: self.held(), open: self.requests.get() };
+            match leaving.on(self.now(), look) {
+                Leave::Wait(time) => sleep(duration(time)).await,
+                Leave::Exit | Leave::Take(_) | Leave::Close => return,
+            }
         }
     }
 
+    /// The time as the machines count it.
+    fn now(&self) -> Nanos {
+        self.began.elapsed().as_nanos() as Nanos
+    }
+
     fn held(&self) -> usize {
         self.clients.borrow().len()
     }
@@ -131,22 +130,25 @@
     }
 
     async fn accept_one(self: &Rc<Self>, listener: &TcpListener) {
+        let mut tried = None;
         loop {
-            if self.held() >= self.most / 2 {
-                self.make_room(true);
-            }
-            while self.held() >= self.most && self.make_room(false) {}
-            if self.held() < self.most + TURNED_AWAY {
-                break;
+            let next = self.door.accept(self.held(), tried);
+            match next {
+                Accept::Now => break,
+                Accept::SendIdleOff => tried = Some((next, self.make_room(true))),
+                Accept::SendOneOff => tried = Some((next, self.make_room(false))),
+                Accept::Wait => {
+                    sleep(Duration::from_millis(5)).await;
+                    tried = None;
+                }
             }
-            sleep(Duration::from_millis(5)).await;
         }
         match listener.accept().await {
             Ok((stream, _)) => {
                 let (server, client, number) =
-                    (Rc::clone(self), Client::new(stream.as_raw_fd()), self.next.get());
+                    (Rc::clone(self), Client::new(stream.as_raw_fd(), self.began), self.next.get());
                 self.next.set(number + 1);
-                let full = self.held() >= self.most;
+                let full = self.door.is_full(self.held());
                 if full {
                     self.say_full();
                 }
@@ -167,31 +169,12 @@
         }
     }
 
-    /// Takes the place of the connection that is of least use, if any may be spared: guards the usual clients
-    /// against those that connect by hundreds, and against idle connections that are kept for good.
-    ///
-    /// Clients, too, may hold only so many connections, and those that ask once and stay use them up before ours
-    /// are: from half of the places on, each new one sends an idle one off, which is asked for by `idle`.
+    /// Sends off the connection that is of least use, if any may be spared.
     fn make_room(&self, idle: bool) -> bool {
-        let now = Instant::now();
-        let spared = |client: &Client| {
-            let (phase, since) = client.phase();
-            let rank = match phase {
-                Phase::Idle if now - since >= IDLE_SHORT => 2,
-                // A crowd of clients that ask once each: a new one has more use for the place.
-                Phase::Idle if now - since >= SILENT || !idle => 4,
-                Phase::Closing if !idle => 0,
-                Phase::Silent if !idle && now - since >= SILENT => 1,
-                Phase::Head | Phase::Body if !idle && now - since >= HALF => 3,
-                _ => return None,
-            };
-            Some((rank, since))
-        };
         let mut clients = self.clients.borrow_mut();
-        let mut least: Vec<_> = clients.iter().filter_map(|(n, c)| Some((spared(c)?, *n))).collect();
-        least.sort_unstable();
-        let gone = least.into_iter().find(|(_, number)| !clients[number].is_busy());
-        let gone = gone.and_then(|(_, number)| clients.remove(&number));
+        let visitors = clients.iter().map(|(n, c)| (*n, c.visitor()));
+        let gone = self.door.gives_way(self.now(), idle, visitors, |n| clients[&n].is_busy());
+        let gone = gone.and_then(|number| clients.remove(&number));
         gone.map(|client| client.gone.notify_one()).is_some()
     }
 
@@ -203,7 +186,7 @@
         }
         self.said.set(Some(now));
         let mut held: Vec<(Phase, usize)> = Vec::new();
-        for (phase, _) in self.clients.borrow().values().map(|c| c.phase()) {
+        for (phase, _) in self.clients.borrow().values().map(|c| c.visitor().phase()) {
             match held.iter_mut().find(|(p, _)| *p == phase) {
                 Some((_, count)) => *count += 1,
                 None => held.push((phase, 1)),
@@ -216,16 +199,9 @@
     async fn look(&self) {
         loop {
             sleep(LOOK).await;
-            let now = Instant::now();
-            let idle = if self.held() >= self.most / 2 { IDLE_SHORT } else { IDLE };
+            let (now, short) = (self.now(), self.door.is_short(self.held()));
             for client in self.clients.borrow().values() {
-                let (phase, since) = client.phase();
-                let over = match phase {
-                    Phase::Silent | Phase::Head => now >= client.limit(),
-                    Phase::Idle => now - since >= idle && !client.is_busy(),
-                    // These are bounded where they are awaited.
-                    Phase::Body | Phase::Open | Phase::Closing => false,
-                };
+                let over = client.visitor().is_over(now, short, || client.is_busy());
                 if over {
                     client.gone.notify_one();
                 }
@@ -261,7 +237,7 @@
                 }
             }
         }
-        client.enter(Phase::Closing);
+        client.on(OnVisitor::Ended);
         let until = (client.came() + DRAIN).max(Instant::now() + DRAIN_QUIET);
         // hyper has let go of its part; what is left is this one.
         if let Ok(read) = Rc::try_unwrap(read) {
@@ -294,7 +270,7 @@
         // Whether something stands behind the request is known once it is whole.
         let body = client.fault().map_or(body, Err);
         let spoilt = body.is_err();
-        client.enter(Phase::Open);
+        client.on(OnVisitor::Taken);
         let leaving = *self.leaving.borrow();
         let reply = self.handler.answer(Request::from_parts(head, body), leaving).await;
         if spoilt || client.last() {
@@ -319,6 +295,10 @@
     })
 }
 
+fn duration(time: Nanos) -> Duration {
+    Duration::from_nanos(time.max(0) as u64)
+}
+
 /// A short plain answer.
 pub fn plain(status: StatusCode, why: &'static str) -> Reply {
     let mut reply = Response::new(Either::Left(Full::new(Bytes::from_static(why.as_bytes()))));
