--- a/crates/checker/src/configs.rs
+++ b/crates/checker/src/configs.rs
@@ -158,16 +158,16 @@
     vec![
         Config::Entrance(Entrance {
             requests: 1,
-            leaves: true,
-            steps: 1,
-            ..entrance("leave", "two clients and SIGTERM", 2)
+            places: (1, 1),
+            steps: 2,
+            ..entrance("crowd", "three clients at one place, and one more that is turned away", 3)
         }),
         Config::Entrance(Entrance { steps: 3, ..entrance("door", "two clients with two requests each", 2) }),
         Config::Entrance(Entrance {
             requests: 1,
-            places: (1, 1),
-            steps: 2,
-            ..entrance("crowd", "three clients at one place, and one more that is turned away", 3)
+            leaves: true,
+            steps: 1,
+            ..entrance("leave", "two clients and SIGTERM", 2)
         }),
     ]
 }
--- a/crates/checker/src/entrance.rs
+++ b/crates/checker/src/entrance.rs
@@ -489,13 +489,14 @@
         let ago = |t: Nanos| (self.now - t).min(70_000 * MS);
         (self.steps, self.broken, &self.clients, self.visitors.len()).hash(h);
         // Of a front that takes nobody any more, nobody is sent off for the time he has had.
-        let serving = !matches!(self.life, Life::Leaving(_, Leave::Wait(_), _));
+        let serving = matches!(self.life, Life::Serving | Life::Leaving(_, Leave::Take(_), _));
         for (n, v) in &self.visitors {
             (n, v.phase().0).hash(h);
             if serving {
                 (ago(v.phase().1), ago(v.came())).hash(h);
             }
-            if serving || v.phase().0 == Phase::Body {
+            // What may come to be a body is bounded by this also later on.
+            if serving || matches!(v.phase().0, Phase::Silent | Phase::Head | Phase::Body) {
                 (self.now - v.limit()).min(0).hash(h);
             }
         }
--- a/crates/checker/tests/checker.rs
+++ b/crates/checker/tests/checker.rs
@@ -34,13 +34,16 @@
     text
 }
 
-/// The number of states is a fact of the machines: it changes only with them.
+/// The number of states is a fact of the machines. Threads take them in different orders, so it differs where
+/// states count as one that are not.
 #[test]
-fn the_smallest_configuration_holds_and_has_the_same_states_each_time() {
-    let search = || search("submit", bounds(8000));
-    let (first, second) = (search(), search());
-    assert!(first.exhausted, "{first:?}");
-    assert_eq!((first.states, first.depth), (second.states, second.depth));
+fn a_search_finds_the_same_states_in_every_order() {
+    for config in ["submit", "module-submit", "crowd"] {
+        let threads = |n| Bounds { threads: NonZeroUsize::new(n).expect("more than none"), ..bounds(8000) };
+        let (one, four) = (search(config, threads(1)), search(config, threads(4)));
+        assert!(one.exhausted && four.exhausted, "{one:?}");
+        assert_eq!(one.states, four.states, "{config}");
+    }
 }
 
 #[test]
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -569,4 +569,31 @@
         });
         assert_eq!(served, [Some(Bytes::from_static(b"good")), Some(Bytes::from_static(b"well"))]);
     }
+
+    /// The history that the checker found: a node speaks before it was asked, and is read after the request is out.
+    #[test]
+    fn nothing_is_written_where_bytes_wait_already() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            for ends in [false, true] {
+                let stream =
+                    TcpStream::connect(listener.local_addr().expect("bound")).await.expect("connected");
+                let (mut node, _) = listener.accept().expect("a connection");
+                if ends {
+                    drop(node);
+                } else {
+                    node.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("written");
+                }
+                stream.readable().await.expect("what the node sent is there");
+                let wire = Rc::new(Wire::default());
+                wire.expect(0);
+                let mut watched = Watched { stream, wire: Rc::clone(&wire) };
+                let request = b"GET /api HTTP/1.1\r\n\r\n";
+                let wrote = std::future::poll_fn(|cx| Pin::new(&mut watched).poll_write(cx, request)).await;
+                assert!(wrote.is_err(), "the node ended: {ends}");
+                assert_eq!(wire.doubt(), Doubt::Untouched, "so the next connection gets the request");
+            }
+        });
+    }
 }
