--- a/crates/checker/src/cli.rs
+++ b/crates/checker/src/cli.rs
@@ -189,7 +189,8 @@
 fn list() -> Result<u8, Failure> {
     say!("configurations:");
     for world in configs::all().into_iter().chain([Config::Front(configs::large())]) {
-        say!("  {:<14} {}{}", world.name(), world.about(), if world.is_quick() { " (quick)" } else { "" });
+        let card = world.card();
+        say!("  {:<14} {}{}", card.name, card.about, if card.quick { " (quick)" } else { "" });
     }
     say!("configurations that are known not to hold (see docs/ROADMAP.md):");
     for world in configs::open() {
@@ -222,7 +223,7 @@
 
 /// Searches, with a line of progress where somebody looks.
 fn search(config: Config, bounds: Bounds) -> Report {
-    let (terminal, name) = (std::io::stderr().is_terminal(), config.name());
+    let (terminal, name) = (std::io::stderr().is_terminal(), config.card().name);
     let progress = |states: usize, depth: usize| {
         if terminal {
             let _ = write!(std::io::stderr(), "\r{name}: {states} states, depth {depth}   ");
@@ -244,7 +245,7 @@
 ) -> Result<u8, Failure> {
     let worlds = match config {
         Some(name) => vec![one(name)?],
-        None => configs::all().into_iter().filter(|c| c.is_quick() || !quick).collect(),
+        None => configs::all().into_iter().filter(|c| c.card().quick || !quick).collect(),
     };
     say!(
         "{:<14} {:>10} {:>11} {:>6} {:>8} {:>8} {:>10}  result",
@@ -343,7 +344,7 @@
         seed(Some(*bug));
         let (mut seconds, mut states) = (0.0, 0);
         let mut found = None;
-        let mut worlds: Vec<Config> = configs::all().into_iter().filter(Config::is_quick).collect();
+        let mut worlds: Vec<Config> = configs::all().into_iter().filter(|c| c.card().quick).collect();
         // Where the bug is, it is found soonest.
         worlds.sort_by_key(|c| matches!(c, Config::Entrance(_)) != (*part == Part::Door));
         for world in worlds {
@@ -368,7 +369,7 @@
                 Seeded {
                     bug: name,
                     found: true,
-                    config: world.name(),
+                    config: world.card().name,
                     breaks,
                     length,
                     seconds,
@@ -438,7 +439,7 @@
             return Ok(BROKEN);
         }
     }
-    say!("{histories} histories of {}, {taken} steps: all holds", world.name());
+    say!("{histories} histories of {}, {taken} steps: all holds", world.card().name);
     Ok(0)
 }
 
--- a/crates/checker/src/configs.rs
+++ b/crates/checker/src/configs.rs
@@ -3,7 +3,7 @@
 use tulipbridge_core::{Class, Group, Plan, Semantics, Settings};
 
 use crate::entrance::Entrance;
-use crate::explore::Explored;
+use crate::explore::{Card, Explored};
 use crate::world::{Ask, Mode, News, Trouble, World, MS};
 
 const READ: usize = 0;
@@ -122,19 +122,9 @@
 }
 
 impl Config {
-    /// Its name in commands.
-    pub fn name(&self) -> &'static str {
-        with_config!(self, world => world.name())
-    }
-
-    /// What it is about.
-    pub fn about(&self) -> &'static str {
-        with_config!(self, world => world.about())
-    }
-
-    /// Whether it is part of the quick run.
-    pub fn is_quick(&self) -> bool {
-        with_config!(self, world => world.is_quick())
+    /// What commands say of it.
+    pub fn card(&self) -> Card {
+        with_config!(self, world => world.card())
     }
 }
 
@@ -308,5 +298,8 @@
 
 /// The configuration of that name.
 pub fn named(name: &str) -> Option<Config> {
-    all().into_iter().chain(open().into_iter().chain([large()]).map(Config::Front)).find(|c| c.name() == name)
+    all()
+        .into_iter()
+        .chain(open().into_iter().chain([large()]).map(Config::Front))
+        .find(|c| c.card().name == name)
 }
--- a/crates/checker/src/entrance.rs
+++ b/crates/checker/src/entrance.rs
@@ -10,7 +10,7 @@
 use tulipbridge_core::door::{Accept, Door, Leave, Leaving, OnLeaving, OnVisitor, Phase, Visitor};
 use tulipbridge_core::Nanos;
 
-use crate::explore::Explored;
+use crate::explore::{same, Card, Explored};
 use crate::properties::Broken;
 use crate::world::MS;
 
@@ -163,16 +163,8 @@
     type State = State;
     type Step = Step;
 
-    fn name(&self) -> &'static str {
-        self.name
-    }
-
-    fn about(&self) -> &'static str {
-        self.about
-    }
-
-    fn is_quick(&self) -> bool {
-        self.quick
+    fn card(&self) -> Card {
+        Card { name: self.name, about: self.about, quick: self.quick }
     }
 
     fn begin(&self) -> State {
@@ -474,12 +466,7 @@
 
 impl PartialEq for State {
     fn eq(&self, other: &State) -> bool {
-        let hash = |s: &State| {
-            let mut hasher = std::hash::DefaultHasher::new();
-            s.hash(&mut hasher);
-            hasher.finish()
-        };
-        hash(self) == hash(other)
+        same(self, other)
     }
 }
 
--- a/crates/checker/src/explore.rs
+++ b/crates/checker/src/explore.rs
@@ -1,7 +1,7 @@
 //! The search: breadth first over every reachable state, so that what it finds it finds by a shortest history.
 
 use std::fmt::{Debug, Display};
-use std::hash::Hash;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::num::NonZeroUsize;
 use std::time::{Duration, Instant};
 
@@ -11,6 +11,27 @@
 use crate::properties::{self, Broken};
 use crate::trace::Trace;
 
+/// What commands say of a configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct Card {
+    /// Its name.
+    pub name: &'static str,
+    /// What it is about.
+    pub about: &'static str,
+    /// Whether it is part of the quick run.
+    pub quick: bool,
+}
+
+/// Whether two states count as one: where all that is hashed of them is the same.
+pub fn same<S: Hash>(a: &S, b: &S) -> bool {
+    let hash = |s: &S| {
+        let mut hasher = DefaultHasher::new();
+        s.hash(&mut hasher);
+        hasher.finish()
+    };
+    hash(a) == hash(b)
+}
+
 /// A world that can be explored: what it begins with, what may come next, and what that leads to.
 pub trait Explored: Clone + Send + Sync + 'static {
     /// A state of it. Two of one hash are taken for one.
@@ -18,12 +39,8 @@
     /// A step from one state to the next; its text names it among all that may come.
     type Step: Clone + Debug + Display + PartialEq + Send + Sync + 'static;
 
-    /// Its name in commands.
-    fn name(&self) -> &'static str;
-    /// What it is about.
-    fn about(&self) -> &'static str;
-    /// Whether it is part of the quick run.
-    fn is_quick(&self) -> bool;
+    /// What commands say of it.
+    fn card(&self) -> Card;
     /// What everything begins with.
     fn begin(&self) -> Self::State;
     /// Everything that may come next.
@@ -100,7 +117,7 @@
 
 /// Searches a configuration; `progress` is told of unique states now and then.
 pub fn explore<W: Explored>(world: W, bounds: Bounds, mut progress: impl FnMut(usize, usize)) -> Report {
-    let (config, began) = (world.name(), Instant::now());
+    let (config, began) = (world.card().name, Instant::now());
     let copy = world.clone();
     let search = Searched(world)
         .checker()
--- a/crates/checker/src/trace.rs
+++ b/crates/checker/src/trace.rs
@@ -69,7 +69,7 @@
         }
         let breaks = world.broken_names(&state).into_iter().map(str::to_owned).collect();
         let steps = steps.iter().map(W::Step::to_string).collect();
-        Trace { config: world.name().to_owned(), breaks, steps }
+        Trace { config: world.card().name.to_owned(), breaks, steps }
     }
 
     /// Reads a file.
@@ -91,7 +91,7 @@
             let found = second.chars().take(60).collect();
             TraceError::Config { path: path.to_owned(), found }
         })?;
-        let mut trace = Trace { config: world.name().to_owned(), breaks: Vec::new(), steps: Vec::new() };
+        let mut trace = Trace { config: world.card().name.to_owned(), breaks: Vec::new(), steps: Vec::new() };
         for line in lines.map(str::trim).filter(|l| !l.is_empty()) {
             match line.strip_prefix("breaks ") {
                 Some(name) => trace.breaks.push(name.to_owned()),
--- a/crates/checker/src/world.rs
+++ b/crates/checker/src/world.rs
@@ -15,7 +15,7 @@
     Settings,
 };
 
-use crate::explore::Explored;
+use crate::explore::{same, Card, Explored};
 use crate::judge::Judge;
 use crate::properties::Broken;
 
@@ -315,16 +315,8 @@
     type State = State;
     type Step = Step;
 
-    fn name(&self) -> &'static str {
-        self.name
-    }
-
-    fn about(&self) -> &'static str {
-        self.about
-    }
-
-    fn is_quick(&self) -> bool {
-        self.quick
+    fn card(&self) -> Card {
+        Card { name: self.name, about: self.about, quick: self.quick }
     }
 
     fn broken<'a>(&self, state: &'a State) -> &'a Broken {
@@ -937,7 +929,8 @@
         wire.on = None;
         wire.since = self.now;
         let (node, place) = (wire.node, wire.place);
-        let quiet = wire.machine == Link::Quiet && !wire.closed && !wire.unasked;
+        // What lies on the socket is looked for where the connection is taken again.
+        let quiet = wire.machine == Link::Quiet;
         let outcome = answer.map_or(Outcome::Done, |(_, outcome)| outcome);
         if let Some(t) = self.tries.get_mut(&key) {
             t.machine.on(OnAttempt::Answered(outcome));
@@ -1038,12 +1031,7 @@
 
 impl PartialEq for State {
     fn eq(&self, other: &State) -> bool {
-        let hash = |s: &State| {
-            let mut hasher = std::hash::DefaultHasher::new();
-            s.hash(&mut hasher);
-            hasher.finish()
-        };
-        hash(self) == hash(other)
+        same(self, other)
     }
 }
 
--- a/crates/checker/tests/checker.rs
+++ b/crates/checker/tests/checker.rs
@@ -62,7 +62,7 @@
     let (again, read) = Trace::read(&file("walk", trace.to_string().as_bytes())).expect("it reads");
     assert_eq!(read, trace);
     let mut steps = 0;
-    assert_eq!(again.name(), "large");
+    assert_eq!(again.card().name, "large");
     let state = read.replay(&world, |_, _| steps += 1).expect("it replays");
     assert_eq!((steps, state.broken.any()), (400, false));
 }
--- a/crates/core/src/link.rs
+++ b/crates/core/src/link.rs
@@ -10,9 +10,10 @@
 use crate::seeded::{seeded, Bug};
 
 /// What a connection to a node is about.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub enum Link {
     /// Open, with nothing on it.
+    #[default]
     Quiet,
     /// A request was handed over, its last byte is not written.
     Writing {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -438,8 +438,8 @@
         live.finished = true;
         if live.queued {
             live.queued = false;
-            if seeded(Bug::QueueKeepsFinished) {
-            } else if let Some(queue) = live.cell.and_then(|c| self.queues.get_mut(&c)) {
+            let queue = live.cell.and_then(|c| self.queues.get_mut(&c));
+            if let Some(queue) = queue.filter(|_| !seeded(Bug::QueueKeepsFinished)) {
                 queue.retain(|q| *q != id);
             }
         }
--- a/src/config.rs
+++ b/src/config.rs
@@ -5,9 +5,9 @@
 
 use simd_json::prelude::*;
 use simd_json::OwnedValue as Value;
+use tulipbridge_core::Settings;
 
 use crate::settings::{names, num, settings, text, Res};
-use tulipbridge_core::Settings;
 
 /// A front's configuration.
 pub struct Config {
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -12,13 +12,13 @@
 use simd_json::OwnedValue as Value;
 use tokio::sync::watch;
 use tokio::time::sleep;
+use tulipbridge_core::{CellId, Listed, NodeInfo, Scope};
 
 use crate::exchange::Exchange;
 use crate::http::{call, Answer};
 use crate::log::log;
 use crate::settings::{flag, int, list, text, Res};
 use crate::upstream::Upstream;
-use tulipbridge_core::{CellId, Listed, NodeInfo, Scope};
 
 /// A watch writes an empty line every 2 s while nothing changes. A machine that is cut off says nothing, and its
 /// connection stays open: silence for two such lines is the end of the watch.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -10,9 +10,9 @@
 
 use tokio::sync::{oneshot, watch, Notify};
 use tulipbridge_core::desk::{Desk, Effect, Input, Verdict};
+use tulipbridge_core::*;
 
 use crate::log::log;
-use tulipbridge_core::*;
 
 /// A module that leaves a request unanswered for this long past its deadline is overruled with a failure.
 /// Guards the rule of one final answer against faults of ours; well inside the slack that clients grant.
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -23,12 +23,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tulipbridge_core::door::{Accept, Door, Leave, Leaving, OnLeaving, OnVisitor, Phase};
+use tulipbridge_core::Nanos;
 
 use crate::framing::{Answering, Client, Framed, Open, MOST_HEAD};
 use crate::log::log;
 use crate::upstream::MOST_BODY;
-use tulipbridge_core::door::{Accept, Door, Leave, Leaving, OnLeaving, OnVisitor, Phase};
-use tulipbridge_core::Nanos;
 
 /// Connections past the cap that may stand at once to be told so; more wait to be accepted.
 const TURNED_AWAY: usize = 16;
--- a/src/object/config.rs
+++ b/src/object/config.rs
@@ -4,10 +4,10 @@
 use std::path::Path;
 
 use simd_json::prelude::*;
+use tulipbridge_core::Semantics;
 
 use crate::config;
 use crate::settings::{num, text, Res};
-use tulipbridge_core::Semantics;
 
 /// Bytes of a unit where a bucket does not say.
 const UNIT_BYTES: f64 = 16.0 * 1024.0;
--- a/src/object/mod.rs
+++ b/src/object/mod.rs
@@ -22,14 +22,14 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, ETAG, RETRY_AFTER};
 use hyper::{Method, Response, StatusCode, Uri};
 use percent_encoding::{percent_decode_str, utf8_percent_encode, NON_ALPHANUMERIC};
+use tulipbridge_core as core;
+use tulipbridge_core::CellId;
 
 use crate::exchange::{Exchange, Final};
 use crate::front::{assemble, on_one_thread, reload, stop};
 use crate::listener::{listen, plain, Handler, Listener, Reply, Taken};
 use crate::settings::Res;
 use crate::upstream::{Accepts, Answer, Payload, Upstream};
-use tulipbridge_core as core;
-use tulipbridge_core::CellId;
 
 pub use config::{Bucket, Config};
 
--- a/src/object/read.rs
+++ b/src/object/read.rs
@@ -18,9 +18,10 @@
 use super::{
     copy, empty, encoded, not_implemented, said, Answer, Asked, Fault, Front, Reply, Step, VERSION_ID,
 };
-use crate::upstream::MOST_BODY;
 use tulipbridge_core::CellId;
 
+use crate::upstream::MOST_BODY;
+
 /// What of a node's answer describes an object, besides the `x-amz-meta-` headers.
 const DESCRIBED: [&str; 8] = [
     "content-type",
--- a/src/server.rs
+++ b/src/server.rs
@@ -7,12 +7,12 @@
 use http_body_util::{Either, Full};
 use hyper::header::{HeaderMap, HeaderValue, COOKIE};
 use hyper::{Method, Response, StatusCode};
+use tulipbridge_core as core;
+use tulipbridge_core::{CellId, Nanos};
 
 use crate::exchange::{Exchange, Final};
 use crate::listener::{plain, refused, Handler, Reply, Taken};
 use crate::upstream::{Accepts, Payload, Upstream};
-use tulipbridge_core as core;
-use tulipbridge_core::{CellId, Nanos};
 
 const TXN: &str = "x-txn";
 
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -27,11 +27,11 @@
 use tokio::sync::Notify;
 use tokio::task::{yield_now, JoinHandle};
 use tokio::time::sleep;
-
-use crate::exchange::{Ended, Transport};
 use tulipbridge_core::link::{Attempt, Doubt, Link, Next, OnAttempt, OnLink, Pool, Room};
 use tulipbridge_core::{CellId, Nanos, NodeId, Outcome};
 
+use crate::exchange::{Ended, Transport};
+
 /// The most bytes of a body, either way.
 pub const MOST_BODY: usize = 64 * 1024;
 /// Bytes that a connection holds of what it reads: a head past it has no end that matters.
@@ -145,7 +145,7 @@
     /// Closes connections that have stood idle for long.
     pub fn sweep(&self) {
         let now = self.shared.now();
-        self.shared.pool.borrow_mut().sweep(now, |c| !c.sender.is_closed());
+        self.shared.pool.borrow_mut().sweep(now, Conn::is_open);
     }
 }
 
@@ -216,7 +216,8 @@
     }
 
     fn keep(&self, node: NodeId, conn: Conn) {
-        let quiet = conn.is_quiet();
+        // Bytes that wait on it are looked for where it is taken again.
+        let quiet = conn.is_open();
         self.pool.borrow_mut().keep(node, conn.place, conn, self.now(), quiet);
     }
 
@@ -347,13 +348,15 @@
 }
 
 impl Conn {
-    /// Open, with nothing on it: bytes that came unasked would be taken for the next request's answer.
+    /// Open, with nothing on it that has been read.
+    fn is_open(&self) -> bool {
+        self.wire.link.get() == Link::Quiet && !self.sender.is_closed() && !self.task.is_finished()
+    }
+
+    /// The same with nothing on its socket: bytes that came unasked would be taken for the next request's answer.
     fn is_quiet(&self) -> bool {
         let peek = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
-        self.wire.link.get() == Link::Quiet
-            && !self.sender.is_closed()
-            && !self.task.is_finished()
-            && recv(self.socket, &mut [0], peek) == Err(Errno::EAGAIN)
+        self.is_open() && recv(self.socket, &mut [0], peek) == Err(Errno::EAGAIN)
     }
 }
 
@@ -381,6 +384,7 @@
 
 /// What the socket has taken and brought: no error of a library tells whether the last byte of a request is
 /// out.
+#[derive(Default)]
 struct Wire {
     link: Cell<Link>,
     /// Bytes matched of the empty line that ends the head.
@@ -395,19 +399,6 @@
 
 const HEAD_END: &[u8; 4] = b"\r\n\r\n";
 
-impl Default for Wire {
-    fn default() -> Wire {
-        Wire {
-            link: Cell::new(Link::Quiet),
-            matched: Cell::new(0),
-            body_left: Cell::new(0),
-            answers: Arc::default(),
-            heard: Cell::new(0),
-            came: Notify::new(),
-        }
-    }
-}
-
 impl Wire {
     fn on(&self, event: OnLink) {
         let mut link = self.link.get();
