--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -63,10 +63,10 @@
 const TRIAL_MOST: Nanos = SECOND;
 /// Trials a second of all initiators together, where the longest gap would make more.
 const TRIALS: Nanos = 10;
-/// Of what the initiators sent a node before it started anew, each keeps to this part of what it can bear.
-const COLD_PART: f64 = 0.5;
-/// Smoothing of the time between answers of a node.
-const GAP_ALPHA: f64 = 0.1;
+/// Of what a cold node can bear, the initiators together send this part, by what each has from a warm one.
+const COLD_PART: f64 = 0.75;
+/// Memory of what the warm nodes serve.
+const SERVED_MEMORY: f64 = 4e9;
 /// Requests waiting for one cell: a bound on memory and on the cost of a choice.
 const QUEUE_MOST: usize = 160;
 /// Requests that earn little use at most this part of a window.
@@ -179,10 +179,8 @@
     fn on_entry(&mut self, info: NodeInfo) {
         let (now, cold, mean) = (self.now, self.set.cold, self.set.unit_mean);
         let lot = 2.0 * self.random.f64() - 1.0;
-        let before = self.holder(info.cell).map_or(0.0, |n| n.gap);
         self.place_in_cell(info.node, info.cell);
         let node = self.nodes.entry(info.node).or_insert_with(|| Node::new(&info, now, WINDOW_START));
-        node.gap = if node.gap > 0.0 { node.gap } else { before };
         node.zone = info.zone;
         node.listed = info.listed;
         if info.came_up > node.came_up {
@@ -587,9 +585,10 @@
 
     /// Cold nodes: what this initiator may still send. Two accounts, the larger counts. Its even part of what
     /// is always borne, within the rule's span, grows with the least capacity the node must have by its age.
-    /// And of its own answered rate before the start a part: all those rates together were within the node's
-    /// power, so the parts are within what it bears. Harms a node that is warm already: it idles until the
-    /// list or its age clears it.
+    /// And of what it is served by a warm node, in the mean of them, a part: all initiators together are served
+    /// no more by one than it can do, so the parts are within what a cold one bears. The mean, since one of a
+    /// hundred initiators meets each node once in seconds. Harms a node that is warm already: it idles until
+    /// the list or its age clears it.
     fn cold_room(&self, node: &Node) -> f64 {
         let Some(since) = node.cold_since else { return f64::INFINITY };
         let growth = self.warmth(self.now - since) / self.warmth(0);
@@ -649,7 +648,8 @@
     /// Learns the class's cost and the node's latency from an answer.
     fn learn(&mut self, id: ReqId, at: NodeId, took: Nanos) {
         let live = &self.live[&id];
-        let (class, per_unit) = (live.req.class, took as f64 / live.req.units.max(0.1));
+        let units = live.req.units;
+        let (class, per_unit) = (live.req.class, took as f64 / units.max(0.1));
         let cost = &mut self.unit_cost[class];
         // Leans to the low side: what a unit costs with little waiting.
         let alpha = if per_unit < *cost { 0.05 } else { 0.005 };
@@ -659,8 +659,8 @@
         let aims = self.set.classes.iter().enumerate().map(|(i, c)| c.aim.min(self.stays(i)));
         let aim = aims.min().unwrap_or(0) as f64;
         if let Some(node) = self.nodes.get_mut(&at) {
-            if node.cold_since.is_none() && node.health == Health::Good {
-                node.gap = smoothed(node.gap, GAP_ALPHA, (now - node.learnt_at) as f64);
+            if node.cold_since.is_none() {
+                self.served.add(now, units, SERVED_MEMORY);
             }
             node.answer(now, took as f64 / relative, aim);
         }
@@ -831,12 +831,12 @@
         let (now, mean, span) = (self.now, self.set.unit_mean, self.cold_span());
         let colds = self.nodes.values().map(|n| n.cold_since.map_or(1.0, |s| self.warmth(now - s)));
         let parts: Vec<f64> = colds.map(|w| (COLD_PART * self.set.tip_multiple * w).min(1.0)).collect();
-        let passed = (now - self.tick_at) as f64;
+        let warm = |n: &&Node| n.listed == Listed::Up && n.cold_since.is_none() && n.health == Health::Good;
+        let warm = self.nodes.values().filter(warm).count() as f64;
+        let gained = self.served.now(now, SERVED_MEMORY) / warm.max(1.0) * (now - self.tick_at) as f64 / 1e9;
         self.tick_at = now;
         for ((id, node), part) in self.nodes.iter_mut().zip(parts) {
-            if node.gap > 0.0 {
-                node.cold_level = (node.cold_level + part * mean / node.gap * passed).min(mean);
-            }
+            node.cold_level = (node.cold_level + part * gained).min(mean);
             let oldest = node.out.values().map(|s| s.at).min();
             if let Some(oldest) = oldest {
                 let usual = node.out.values().map(|s| s.expected).fold(node.slow, f64::max);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -147,8 +147,6 @@
     pub cold_sent: VecDeque<(Nanos, f64)>,
     /// Units that may go to it while it is cold, of this initiator's own rate before.
     pub cold_level: f64,
-    /// Smoothed time between its answers; 0 is unknown.
-    pub gap: f64,
     pub base: f64,
     pub weight: f64,
     pub short: Option<f64>,
@@ -214,7 +212,6 @@
             cold_until: 0,
             cold_sent: VecDeque::new(),
             cold_level: 0.0,
-            gap: 0.0,
             base: 1.0,
             weight: 1.0,
             short: None,
@@ -333,6 +330,8 @@
     pub(crate) most_patience: Vec<Nanos>,
     pub(crate) stay: Vec<Stay>,
     pub(crate) admission: Admission,
+    /// Units a second that the warm nodes serve.
+    pub(crate) served: Rate,
     pub(crate) second_at: Nanos,
     pub(crate) tick_at: Nanos,
     pub(crate) last_high: Option<f64>,
@@ -368,6 +367,7 @@
             most_patience,
             stay,
             admission: Admission::default(),
+            served: Rate::new(now),
             second_at: now,
             tick_at: now,
             last_high: None,
@@ -391,7 +391,7 @@
         (ago(self.now), self.started, self.random.get_seed()).hash(h);
         for (id, n) in &self.nodes {
             (id, n.cell, n.zone, n.listed, n.cold_since.map(ago), ago(n.cold_until), n.flagged).hash(h);
-            for x in [n.cold_level, n.gap, n.base, n.weight, n.slow, n.near, n.tightest, n.credit, n.window] {
+            for x in [n.cold_level, n.base, n.weight, n.slow, n.near, n.tightest, n.credit, n.window] {
                 bits(x).hash(h);
             }
             (n.short.map(bits), n.best.map(bits), ago(n.best_at), ago(n.learnt_at), ago(n.period_at)).hash(h);
@@ -424,7 +424,7 @@
         }
         let door = &self.admission;
         (door.bound.map(bits), bits(door.bad)).hash(h);
-        for rate in [&door.asked, &door.counted, &door.sent] {
+        for rate in [&door.asked, &door.counted, &door.sent, &self.served] {
             (bits(rate.per_second), ago(rate.at)).hash(h);
         }
         door.recent.iter().for_each(|x| bits(*x).hash(h));
--- a/src/config.rs
+++ b/src/config.rs
@@ -78,6 +78,10 @@
             };
             told.parse().map_err(|_| format!("'{key}' {told} is no address"))
         };
+        if crate::trace::on() {
+            let settings = value.get("settings").cloned();
+            crate::trace::write(simd_json::json!({ "e": "start", "settings": settings }));
+        }
         let boot = value.get("settings").filter(|s| s.is_object()).ok_or("'settings' must be an object")?;
         let family = boot.get("FamilyInfo").ok_or("'FamilyInfo' must be an object")?;
         let limits = boot.get("Limits").ok_or("'Limits' must be an object")?;
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -13,6 +13,7 @@
 use tulipbridge_core::*;
 
 use crate::log::log;
+use crate::trace;
 
 /// A module that leaves a request unanswered for this long past its deadline is overruled with a failure.
 /// Guards the rule of one final answer against faults of ours; well inside the slack that clients grant.
@@ -174,8 +175,14 @@
     /// Takes what has happened, with the answer that an attempt brought, if any.
     fn feed(self: &Rc<Self>, input: Input, mut brought: Option<T::Answer>) {
         let mut effects = Vec::new();
+        if trace::on() {
+            trace::input(&input, |node| self.transport.name(node));
+        }
         self.core.borrow_mut().desk.on(self.clock.now(), input, &mut effects);
         for effect in effects {
+            if trace::on() {
+                trace::effect(&effect, |node| self.transport.name(node));
+            }
             self.carry_out(effect, &mut brought);
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod object;
 pub mod server;
 pub mod settings;
+pub mod trace;
 pub mod upstream;
 
 pub use tulipbridge_core::*;
--- /dev/null
+++ b/src/trace.rs
@@ -0,0 +1,113 @@
+//! What a front takes in and does, one JSON object a line on standard error, for those who count across a fleet:
+//! Off unless [`VARIABLE`] is 1, and then worth one look at a flag.
+//!
+//! Each line has `t` (Unix time in seconds), `e` (what it is about) and what that brings.
+
+use std::sync::OnceLock;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use simd_json::prelude::*;
+use simd_json::{json, OwnedValue as Value};
+use tulipbridge_core::desk::{Effect, Input, Verdict};
+use tulipbridge_core::{Listed, Nanos, NodeId, NodeInfo, Outcome, Scope};
+
+/// The environment variable that switches the trace on.
+pub const VARIABLE: &str = "TULIPBRIDGE_TRACE";
+
+/// Whether lines are written.
+pub fn on() -> bool {
+    static ON: OnceLock<bool> = OnceLock::new();
+    *ON.get_or_init(|| std::env::var_os(VARIABLE).is_some_and(|v| v == "1"))
+}
+
+/// Writes one line, whose fields are in `object`.
+pub fn write(mut object: Value) {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let _ = object.insert("t", now.as_secs_f64());
+    crate::log::line(format_args!("{}", object.encode()));
+}
+
+fn ms(nanos: Nanos) -> f64 {
+    (nanos as f64 / 1e3).round() / 1e3
+}
+
+/// An input of the desk, before it is handled.
+pub fn input(input: &Input, name: impl Fn(NodeId) -> String) {
+    let line = match input {
+        Input::Asked(r) => json!({
+            "e": "asked", "id": r.id, "class": r.class, "plan": r.plan, "volume": format!("{:x}", r.volume),
+            "units": r.units, "cell": r.cell.map_or(-1, i64::from), "patience_ms": ms(r.patience),
+            "hosts": r.set_size,
+        }),
+        Input::Left(id) => json!({ "e": "left", "id": id }),
+        Input::Overdue(id) => json!({ "e": "overdue", "id": id }),
+        Input::Ended { id, attempt, outcome, seen_use, .. } => json!({
+            "e": "ended", "id": id, "attempt": attempt, "outcome": word(*outcome), "use": seen_use,
+        }),
+        Input::TimeUp { id, attempt } => {
+            json!({ "e": "ended", "id": id, "attempt": attempt, "outcome": "time_up" })
+        }
+        Input::Stopped { id, attempt } => {
+            json!({ "e": "ended", "id": id, "attempt": attempt, "outcome": "stopped" })
+        }
+        Input::Fleet { scope, nodes } => json!({
+            "e": "fleet", "scope": scope_word(*scope), "entries": nodes.len(),
+            "nodes": nodes.iter().map(|n| entry(n, &name)).collect::<Vec<Value>>(),
+        }),
+        Input::Timer(_) => return,
+    };
+    write(line);
+}
+
+/// An effect of the desk, before it is carried out.
+pub fn effect(effect: &Effect, name: impl Fn(NodeId) -> String) {
+    let line = match effect {
+        Effect::Send { id, attempt, node, .. } => {
+            json!({ "e": "send", "id": id, "attempt": attempt, "node": name(*node) })
+        }
+        Effect::Stop { id, attempt } => json!({ "e": "stop", "id": id, "attempt": attempt }),
+        Effect::Answer { id, verdict } => match verdict {
+            Verdict::Served => json!({ "e": "answer", "id": id, "verdict": "served" }),
+            Verdict::Refused(wait) => {
+                json!({ "e": "answer", "id": id, "verdict": "refused", "wait_ms": ms(*wait) })
+            }
+            Verdict::Failed => json!({ "e": "answer", "id": id, "verdict": "failed" }),
+        },
+        Effect::Subscribe => json!({ "e": "subscribe" }),
+        Effect::Forget(node) => json!({ "e": "forget", "node": name(*node) }),
+        Effect::Note { text, node } => json!({ "e": "note", "text": *text, "node": name(*node) }),
+        Effect::Release(_) | Effect::Sleep { .. } => return,
+    };
+    write(line);
+}
+
+fn entry(n: &NodeInfo, name: impl Fn(NodeId) -> String) -> Value {
+    let listed = match n.listed {
+        Listed::Up => "up",
+        Listed::Draining => "draining",
+        Listed::Removed => "removed",
+    };
+    json!({ "node": name(n.node), "cell": n.cell, "listed": listed, "came_up": n.came_up as f64 / 1e9 })
+}
+
+fn scope_word(scope: Scope) -> &'static str {
+    match scope {
+        Scope::Update => "update",
+        Scope::Replace => "replace",
+        Scope::Restored => "restored",
+        Scope::Unavailable => "unavailable",
+    }
+}
+
+fn word(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => "done",
+        Outcome::Error => "error",
+        Outcome::Busy => "busy",
+        Outcome::TimedOut => "timed_out",
+        Outcome::Refused => "refused",
+        Outcome::Reset => "reset",
+        Outcome::Canceled => "cancelled",
+        Outcome::Skipped => "skipped",
+    }
+}
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -22,6 +22,7 @@
 use hyper_util::rt::TokioIo;
 use nix::errno::Errno;
 use nix::sys::socket::{recv, MsgFlags};
+use simd_json::json;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -31,6 +32,7 @@
 use tulipbridge_core::{CellId, Nanos, NodeId, Outcome};
 
 use crate::exchange::{Ended, Transport};
+use crate::trace;
 
 /// The most bytes of a body, either way.
 pub const MOST_BODY: usize = 64 * 1024;
@@ -154,8 +156,7 @@
     type Answer = Answer;
 
     fn name(&self, node: NodeId) -> String {
-        let nodes = self.shared.nodes.borrow();
-        nodes.list.get(&node).map_or(String::new(), |m| format!("{} at {}", m.name, m.address))
+        self.shared.name(node)
     }
 
     fn forget(&self, node: NodeId) {
@@ -210,6 +211,12 @@
         }
     }
 
+    /// What operators call a node, and where it is.
+    fn name(&self, node: NodeId) -> String {
+        let nodes = self.nodes.borrow();
+        nodes.list.get(&node).map_or(String::new(), |m| format!("{} at {}", m.name, m.address))
+    }
+
     /// The time as the pool counts it.
     fn now(&self) -> Nanos {
         self.began.elapsed().as_nanos() as Nanos
@@ -231,6 +238,9 @@
         let (address, cell) = self.nodes.borrow().list.get(&node).map(|m| (m.address, m.cell))?;
         let place = self.pool.borrow().place(node)?;
         let table = Place::take(self);
+        if trace::on() {
+            trace::write(json!({ "e": "dial", "node": self.name(node), "open": self.open.get() }));
+        }
         let dialled = tokio::time::timeout(self.dial_timeout, TcpStream::connect(address)).await;
         let stream = dialled.ok()?.ok()?;
         // Without it, a request in two writes would wait for an acknowledgement; failing costs only time.
