--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -63,8 +63,14 @@
 const TRIAL_MOST: Nanos = SECOND;
 /// Trials a second of all initiators together, where the longest gap would make more.
 const TRIALS: Nanos = 10;
-/// Of what a cold node can bear, the initiators together send this part, by what each has from a warm one.
+/// Of what a cold node can bear, the initiators together send this part, by what each has from a warm one: at
+/// first, and at the least and the most, as cold nodes answer in time or do not.
 const COLD_PART: f64 = 0.75;
+const COLD_LEAST: f64 = 0.4;
+const COLD_MOST: f64 = 2.0;
+/// Steps of that part for an attempt at a cold node that was answered in time, and for one that was not.
+const COLD_UP: f64 = 1.1;
+const COLD_DOWN: f64 = 0.7;
 /// Memory of what the warm nodes serve.
 const SERVED_MEMORY: f64 = 4e9;
 /// Requests waiting for one cell: a bound on memory and on the cost of a choice.
@@ -84,6 +90,10 @@
 /// First and longest gap between calls for a subscription.
 const ASK_FIRST: Nanos = 300 * MS;
 const ASK_MOST: Nanos = 3 * SECOND;
+/// Of the time between calls, for each initiator: discovery answers them in turn, and all may call at once.
+const ASK_EACH: Nanos = 50 * MS;
+/// Part of the time without a call after which a list counts as told, which calls keep within.
+const ASK_PART: f64 = 0.7;
 /// A request that was never sent is held for this part of its time at the most: a refusal later than that
 /// leaves its client no time for anything else.
 const HOLD_PART: f64 = 0.5;
@@ -103,6 +113,8 @@
 const BAD_MEMORY: f64 = 6e8;
 /// Out for this part of the tightest aim is bad, yet no shorter than a silence: pauses are no sign.
 const BAD_AIM: f64 = 0.6;
+/// With more bad ones than this, reads that are late are not waited for.
+const BAD_SOME: f64 = 0.1;
 /// Bad ones up to this part are borne: some nodes in trouble are no reason to refuse work for the others.
 const BAD_BORNE: f64 = 0.3;
 /// The bound steps down by that smoothing's part for a bad attempt, up by this much of it for a good one, and
@@ -128,8 +140,11 @@
         }
         if !self.started {
             self.started = true;
-            self.ask_gap = ASK_FIRST;
-            self.ask_at = self.set.list_on_request.then_some(self.now);
+            self.cold_part = COLD_PART;
+            self.ask_gap = self.ask_first();
+            // All may start at one moment; a list as last held serves meanwhile.
+            let wait = (self.random.f64() * self.crowd() as f64) as Nanos;
+            self.ask_at = self.set.list_on_request.then_some(self.now + wait);
             self.tick(actions);
         }
         match event {
@@ -155,12 +170,13 @@
         if scope == Scope::Unavailable {
             // Backs off with jitter, since all initiators lose discovery at the same moment.
             let wait = (self.ask_gap as f64 * (0.5 + self.random.f64())) as Nanos;
-            self.ask_at = Some(self.now + wait);
-            let most = if self.set.ask_every > 0 { ASK_MOST.min(self.set.ask_every / 3) } else { ASK_MOST };
-            self.ask_gap = (self.ask_gap * 2).min(most);
+            let told = (self.set.ask_every as f64 * ASK_PART) as Nanos;
+            let most = if told > 0 { told } else { Nanos::MAX };
+            self.ask_at = Some(self.now + wait.min(most));
+            self.ask_gap = (self.ask_gap * 2).min(ASK_MOST.max(2 * self.crowd()));
             return;
         }
-        self.ask_gap = ASK_FIRST;
+        self.ask_gap = self.ask_first();
         if scope != Scope::Update {
             self.drop_unlisted(&nodes);
         }
@@ -176,6 +192,16 @@
         self.dispatch_all(actions);
     }
 
+    /// The time that discovery needs for a call of every initiator.
+    fn crowd(&self) -> Nanos {
+        i64::from(self.set.initiators) * ASK_EACH
+    }
+
+    /// The first gap between calls, where one failed.
+    fn ask_first(&self) -> Nanos {
+        ASK_FIRST.max(self.crowd() / 2)
+    }
+
     fn on_entry(&mut self, info: NodeInfo) {
         let (now, cold, mean) = (self.now, self.set.cold, self.set.unit_mean);
         let lot = 2.0 * self.random.f64() - 1.0;
@@ -273,6 +299,11 @@
         let (now, door) = (self.now, &mut self.admission);
         if let Some(node) = self.nodes.get_mut(&at) {
             node.credit = if bad { 0.0 } else { (node.credit + 1.0).min(CREDIT_MOST) };
+            if node.cold_since.is_some() {
+                // Learned from all cold nodes together, since each is met too seldom.
+                let step = if bad { COLD_DOWN } else { COLD_UP };
+                self.cold_part = (self.cold_part * step).clamp(COLD_LEAST, COLD_MOST);
+            }
         }
         let alpha = BAD_ALPHA.min(1e9 / BAD_MEMORY / door.counted.count(now, ADMIT_MEMORY));
         door.bad += alpha * (f64::from(u8::from(bad)) - door.bad);
@@ -561,6 +592,9 @@
     fn send(&mut self, id: ReqId, at: NodeId, actions: &mut Vec<Action>) {
         let now = self.now;
         let Some(live) = self.live.get(&id) else { return };
+        let (class, left) = (&self.set.classes[live.req.class], self.aim(live) - now);
+        let in_time = left > 0 && class.late_worth < LOW_WORTH && class.semantics == Semantics::Idempotent;
+        let crowded = self.admission.bad > BAD_SOME;
         let expected = self.expect(live, &self.nodes[&at]);
         let tightest = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
         let sign = (tightest * BAD_AIM).max(SILENCE_LEAST as f64);
@@ -580,7 +614,11 @@
             node.trial_at = now + (node.trial_gap as f64 * jitter) as Nanos;
             node.trial_gap = (node.trial_gap * 2).min(most);
         }
-        actions.push(Action::Place { id, node: at, patience: 0 });
+        // Where much is late, what is late is worth less than the place it waits in: it is given up at its aim.
+        // Guards against queues full of work past its aim, which no initiator of a hundred sees. Costs reads
+        // that would have been late; a write is left alone, lest it be in doubt.
+        let spare = crowded && in_time && self.set.cancelling;
+        actions.push(Action::Place { id, node: at, patience: if spare { left } else { 0 } });
     }
 
     /// Cold nodes: what this initiator may still send. Two accounts, the larger counts. Its even part of what
@@ -711,7 +749,11 @@
         if live.queued || live.out > 0 || live.streaming {
             return;
         }
-        if outcome == Outcome::Skipped || !self.may_repeat(live, None) || self.admitted_part() < 1.0 {
+        // What never ran, for want of a connection, has cost nobody anything; a new object goes elsewhere.
+        let elsewhere = outcome == Outcome::Refused && live.req.cell.is_none();
+        let crowded = self.admitted_part() < 1.0 && !elsewhere;
+        let over = outcome == Outcome::TimedOut && self.now >= self.aim(live);
+        if outcome == Outcome::Skipped || over || crowded || !self.may_repeat(live, None) {
             self.end(id, actions);
             return;
         }
@@ -830,10 +872,14 @@
     fn watch_silence(&mut self, actions: &mut Vec<Action>) {
         let (now, mean, span) = (self.now, self.set.unit_mean, self.cold_span());
         let colds = self.nodes.values().map(|n| n.cold_since.map_or(1.0, |s| self.warmth(now - s)));
-        let parts: Vec<f64> = colds.map(|w| (COLD_PART * self.set.tip_multiple * w).min(1.0)).collect();
+        let part = self.cold_part * self.set.tip_multiple;
+        let parts: Vec<f64> = colds.map(|w| (part * w).min(self.cold_part.max(1.0))).collect();
         let warm = |n: &&Node| n.listed == Listed::Up && n.cold_since.is_none() && n.health == Health::Good;
         let warm = self.nodes.values().filter(warm).count() as f64;
-        let gained = self.served.now(now, SERVED_MEMORY) / warm.max(1.0) * (now - self.tick_at) as f64 / 1e9;
+        if warm > 0.0 {
+            self.warm_rate = self.served.now(now, SERVED_MEMORY) / warm;
+        }
+        let gained = self.warm_rate * (now - self.tick_at) as f64 / 1e9;
         self.tick_at = now;
         for ((id, node), part) in self.nodes.iter_mut().zip(parts) {
             node.cold_level = (node.cold_level + part * gained).min(mean);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -332,6 +332,10 @@
     pub(crate) admission: Admission,
     /// Units a second that the warm nodes serve.
     pub(crate) served: Rate,
+    /// Of that for each of them, as last known while there were any.
+    pub(crate) warm_rate: f64,
+    /// Of what cold nodes can bear by what these serve, the part that they are sent.
+    pub(crate) cold_part: f64,
     pub(crate) second_at: Nanos,
     pub(crate) tick_at: Nanos,
     pub(crate) last_high: Option<f64>,
@@ -368,6 +372,8 @@
             stay,
             admission: Admission::default(),
             served: Rate::new(now),
+            warm_rate: 0.0,
+            cold_part: 0.0,
             second_at: now,
             tick_at: now,
             last_high: None,
@@ -423,7 +429,7 @@
             (bits(s.age), bits(s.rate), ago(s.at)).hash(h);
         }
         let door = &self.admission;
-        (door.bound.map(bits), bits(door.bad)).hash(h);
+        (door.bound.map(bits), bits(door.bad), bits(self.cold_part), bits(self.warm_rate)).hash(h);
         for rate in [&door.asked, &door.counted, &door.sent, &self.served] {
             (bits(rate.per_second), ago(rate.at)).hash(h);
         }
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -73,3 +73,103 @@
     // 320 units were asked for, of 310 that it could do by the least it warms.
     assert!(units > 50.0, "only {units} units to a node that could do 310 while cold");
 }
+
+/// All of a hundred initiators start at one moment while discovery fails every call after 2 s. It takes calls in
+/// turn, so what counts is how many come together, and that they become fewer while none succeeds. None stays
+/// without a call for as long as makes a list count as told.
+#[test]
+fn a_hundred_starts_and_failed_calls_do_not_meet_at_discovery() {
+    let mut set = settings();
+    set.initiators = COUNT as u32;
+    let began = 100 * S;
+    let (mut rigs, mut calls, mut fails) = (Vec::new(), Vec::new(), vec![None; COUNT]);
+    for (who, fail) in fails.iter_mut().enumerate() {
+        let scheduler = Scheduler::new(set.clone(), who as u64, began).expect("settings hold");
+        let mut rig = Rig { scheduler, now: began };
+        let nodes = (0..4).map(|n| node(n, Listed::Up, 0)).collect();
+        if rig.event(Event::Fleet { scope: Scope::Restored, nodes }).contains(&Action::Subscribe) {
+            calls.push(began);
+            *fail = Some(began + 2 * S);
+        }
+        rigs.push(rig);
+    }
+    let mut last = vec![began; COUNT];
+    for step in 0..3000 {
+        let now = began + step * 10 * MS;
+        for (who, rig) in rigs.iter_mut().enumerate() {
+            rig.now = now;
+            if fails[who].is_some_and(|t| t <= now) {
+                fails[who] = None;
+                last[who] = now;
+                rig.event(Event::Fleet { scope: Scope::Unavailable, nodes: Vec::new() });
+            }
+            if rig.event(Event::Timer(1)).contains(&Action::Subscribe) {
+                calls.push(now);
+                fails[who] = Some(now + 2 * S);
+            }
+            assert!(now - last[who] < set.ask_every, "initiator {who} has not asked for too long");
+        }
+    }
+    let within = |span: Nanos, from: Nanos| {
+        let most = calls.iter().filter(|t| **t >= from);
+        most.map(|t| calls.iter().filter(|c| **c >= *t && **c < *t + span).count()).max().unwrap_or(0)
+    };
+    assert!(within(100 * MS, began) <= 12, "{} calls in 100 ms", within(100 * MS, began));
+    assert!(within(S, began + 10 * S) <= 30, "{} calls in a second", within(S, began + 10 * S));
+    assert!(calls.len() > 3 * COUNT, "they go on asking");
+}
+
+/// An initiator that has just seen many attempts come to nothing, at nodes 1 and 2 of five.
+fn crowded() -> Rig {
+    let mut set = settings();
+    set.classes.iter_mut().for_each(|c| c.late_worth = 0.1);
+    let mut rig = Rig::new(set, 5);
+    rig.warm(0, 8, 0, 20 * MS);
+    for (id, at) in [(100, 1), (101, 2), (102, 1)] {
+        if !places(&rig.ask(request(id, 0, Some(at)))).is_empty() {
+            rig.end(id, 0, at as NodeId, Outcome::Busy, MS);
+        }
+    }
+    // Far more is asked of one of them than it may be sent.
+    let asks: Vec<Vec<Action>> = (110..150).map(|id| rig.ask(request(id, 0, Some(1)))).collect();
+    let turned = (110..150).zip(&asks).filter(|(id, a)| refused(a, *id)).count();
+    assert!(turned >= 10, "the crowd is turned away: {turned}");
+    rig
+}
+
+fn patience(actions: &[Action]) -> Option<Nanos> {
+    actions.iter().find_map(|a| match a {
+        Action::Place { patience, .. } => Some(*patience),
+        _ => None,
+    })
+}
+
+/// Where much is late, a read does not wait past its aim in a node's queue, in front of others: its place is worth
+/// more. A write is left alone, lest it be in doubt; and where all goes well nobody is hurried.
+#[test]
+fn in_a_crowd_reads_end_at_their_aim_and_writes_do_not() {
+    let mut rig = crowded();
+    let mut calm = Rig::new(settings(), 3);
+    assert_eq!(patience(&calm.ask(request(1, 0, Some(0)))), Some(0), "a calm day");
+    let read = rig.ask(request(300, 0, Some(0)));
+    assert_eq!(patience(&read), Some(200 * MS), "the aim of a read");
+    rig.now += 200 * MS;
+    let ended = rig.event(ended(300, 0, 0, Outcome::TimedOut, 200 * MS, false));
+    assert!(refused(&ended, 300) && places(&ended).is_empty(), "its answer goes out at once: {ended:?}");
+    let write = rig.ask(request(301, 2, Some(0)));
+    assert!(patience(&write).is_none_or(|p| p == 0), "a write waits: {write:?}");
+}
+
+/// A new object whose node refused the connection has run nowhere and goes to another node, also in a crowd:
+/// a list that names nodes which have gone must not cost the writes that any other node could take.
+#[test]
+fn a_refused_new_object_goes_elsewhere_in_a_crowd() {
+    let mut rig = crowded();
+    let first = places(&rig.ask(request(500, 2, None)));
+    let (id, at) = first[0];
+    let mut sent = rig.end(id, 0, at, Outcome::Refused, MS);
+    sent.extend(rig.pass(100 * MS));
+    let again = places(&sent);
+    assert!(!refused(&sent, id), "it was refused: {sent:?}");
+    assert!(again.iter().any(|(r, to)| *r == id && *to != at), "it went elsewhere: {again:?}");
+}
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -415,7 +415,8 @@
     let mut random = fastrand::Rng::with_seed(5);
     let mut rigs: Vec<Rig> = (0..COUNT as u64).map(|seed| Rig::seeded(set.clone(), 1, seed)).collect();
     let (mut next, mut sent, up) = (0, VecDeque::new(), 140 * S);
-    let (mut cold_total, mut out) = (0.0, VecDeque::new());
+    let mut sent_at = BTreeMap::new();
+    let (mut cold_total, mut out, mut free) = (0.0, VecDeque::new(), 0);
     // 50 requests of 2 units a second in all: 100 units a second is what the node can do when warm.
     while rigs[0].now < 150 * S {
         let now = rigs[0].now + 10 * MS;
@@ -436,12 +437,17 @@
             }
             if let Some((_, who, id)) = ended.filter(|(_, who, _)| *who == i) {
                 assert_eq!(who, i);
-                actions.extend(rig.end(id, 0, 0, Outcome::Done, 20 * MS));
+                actions.extend(rig.end(id, 0, 0, Outcome::Done, now - sent_at[&id]));
             }
             actions.extend(rig.event(Event::Timer(1)));
             for (id, _) in places(&actions) {
                 sent.push_back((now, 2.0));
-                out.push_back((now + 20 * MS, i, id));
+                // It serves in turn, at what it can do by then.
+                let part =
+                    if now < up { 1.0 } else { 0.2 + 0.8 * ((now - up) as f64 / set.cold as f64).min(1.0) };
+                free = free.max(now) + (20e6 / part) as Nanos;
+                sent_at.insert(id, now);
+                out.push_back((free, i, id));
                 cold_total += if now >= up { 2.0 } else { 0.0 };
             }
         }
