--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -63,14 +63,14 @@
 const TRIAL_MOST: Nanos = SECOND;
 /// Trials a second of all initiators together, where the longest gap would make more.
 const TRIALS: Nanos = 10;
-/// Of what a cold node can bear, the initiators together send this part, by what each has from a warm one: at
-/// first, and at the least and the most, as cold nodes answer in time or do not.
-const COLD_PART: f64 = 0.75;
-const COLD_LEAST: f64 = 0.4;
-const COLD_MOST: f64 = 2.0;
-/// Steps of that part for an attempt at a cold node that was answered in time, and for one that was not.
-const COLD_UP: f64 = 1.1;
-const COLD_DOWN: f64 = 0.7;
+/// Of what a cold node can bear, the initiators together send a part, by what each has from a warm one: 1 at
+/// first, within these bounds, and with these steps for an attempt that was answered in time or was not.
+const COLD_PART: std::ops::RangeInclusive<f64> = 0.4..=2.0;
+const COLD_STEPS: [f64; 2] = [1.1, 0.7];
+/// Of what a warm node serves it in the mean, an initiator takes this part for granted at any.
+const COLD_EVEN: f64 = 0.5;
+/// Requests of mean size that may be saved up for a cold node.
+const COLD_DEPTH: f64 = 3.0;
 /// Memory of what the warm nodes serve.
 const SERVED_MEMORY: f64 = 4e9;
 /// Requests waiting for one cell: a bound on memory and on the cost of a choice.
@@ -90,13 +90,17 @@
 /// First and longest gap between calls for a subscription.
 const ASK_FIRST: Nanos = 300 * MS;
 const ASK_MOST: Nanos = 3 * SECOND;
-/// Of the time between calls, for each initiator: discovery answers them in turn, and all may call at once.
+/// The same for each initiator, as all may call at once; within this part of the time that makes a list told.
 const ASK_EACH: Nanos = 50 * MS;
-/// Part of the time without a call after which a list counts as told, which calls keep within.
 const ASK_PART: f64 = 0.7;
 /// A request that was never sent is held for this part of its time at the most: a refusal later than that
 /// leaves its client no time for anything else.
 const HOLD_PART: f64 = 0.5;
+/// A node is drawn by this power of its quickness, within a bound; without answers that falls to a part.
+const PULL: i32 = 2;
+const PULL_MOST: f64 = 30.0;
+const PULL_MEMORY: f64 = 5e9;
+const PULL_STALE: f64 = 0.03;
 /// Smoothing of how often those clients leave that wait long, and how often makes it the rule.
 const LEFT_ALPHA: f64 = 0.03;
 const LEFT_RATE: f64 = 0.3;
@@ -140,8 +144,8 @@
         }
         if !self.started {
             self.started = true;
-            self.cold_part = COLD_PART;
-            self.ask_gap = self.ask_first();
+            self.cold_part = 1.0;
+            self.ask_gap = ASK_FIRST.max(self.crowd() / 2);
             // All may start at one moment; a list as last held serves meanwhile.
             let wait = (self.random.f64() * self.crowd() as f64) as Nanos;
             self.ask_at = self.set.list_on_request.then_some(self.now + wait);
@@ -170,13 +174,12 @@
         if scope == Scope::Unavailable {
             // Backs off with jitter, since all initiators lose discovery at the same moment.
             let wait = (self.ask_gap as f64 * (0.5 + self.random.f64())) as Nanos;
-            let told = (self.set.ask_every as f64 * ASK_PART) as Nanos;
-            let most = if told > 0 { told } else { Nanos::MAX };
-            self.ask_at = Some(self.now + wait.min(most));
+            let told = if self.set.ask_every > 0 { self.set.ask_every } else { Nanos::MAX };
+            self.ask_at = Some(self.now + wait.min((told as f64 * ASK_PART) as Nanos));
             self.ask_gap = (self.ask_gap * 2).min(ASK_MOST.max(2 * self.crowd()));
             return;
         }
-        self.ask_gap = self.ask_first();
+        self.ask_gap = ASK_FIRST.max(self.crowd() / 2);
         if scope != Scope::Update {
             self.drop_unlisted(&nodes);
         }
@@ -197,16 +200,14 @@
         i64::from(self.set.initiators) * ASK_EACH
     }
 
-    /// The first gap between calls, where one failed.
-    fn ask_first(&self) -> Nanos {
-        ASK_FIRST.max(self.crowd() / 2)
-    }
-
     fn on_entry(&mut self, info: NodeInfo) {
         let (now, cold, mean) = (self.now, self.set.cold, self.set.unit_mean);
         let lot = 2.0 * self.random.f64() - 1.0;
+        let usual = self.cells.get(&info.cell).into_iter().flatten().map(|id| self.nodes[id].usual);
+        let usual = usual.fold(0.0, f64::max);
         self.place_in_cell(info.node, info.cell);
         let node = self.nodes.entry(info.node).or_insert_with(|| Node::new(&info, now, WINDOW_START));
+        node.usual = node.usual.max(usual);
         node.zone = info.zone;
         node.listed = info.listed;
         if info.came_up > node.came_up {
@@ -301,8 +302,8 @@
             node.credit = if bad { 0.0 } else { (node.credit + 1.0).min(CREDIT_MOST) };
             if node.cold_since.is_some() {
                 // Learned from all cold nodes together, since each is met too seldom.
-                let step = if bad { COLD_DOWN } else { COLD_UP };
-                self.cold_part = (self.cold_part * step).clamp(COLD_LEAST, COLD_MOST);
+                let part = self.cold_part * COLD_STEPS[usize::from(bad)];
+                self.cold_part = part.clamp(*COLD_PART.start(), *COLD_PART.end());
             }
         }
         let alpha = BAD_ALPHA.min(1e9 / BAD_MEMORY / door.counted.count(now, ADMIT_MEMORY));
@@ -422,23 +423,20 @@
         self.dispatch(cell, actions);
     }
 
-    /// Weighted draw among the nodes that could take the work now, those near their best latency first: a
-    /// busy node's time belongs to the reads that only it can serve. When none has room, among all.
+    /// Weighted draw among the nodes that could take the work now, where it is soon done: a busy node's time
+    /// belongs to the reads that only it can serve. When none has room, among all.
     fn draw_cell(&self, lot: f64, units: f64) -> Option<CellId> {
         let fit = |n: &Node| {
             n.health == Health::Good && n.has_room(n.window, self.now) && self.cold_room(n) >= units
         };
-        let near = |n: &Node| fit(n) && n.short.unwrap_or(0.0) <= n.near;
-        let bounded = self.admitted_part() < 1.0;
-        self.draw_among(lot, |n| bounded && n.credit >= 1.0 && near(n))
-            .or_else(|| self.draw_among(lot, near))
-            .or_else(|| self.draw_among(lot, fit))
-            .or_else(|| self.draw_among(lot, |_| true))
+        self.draw_among(lot, fit).or_else(|| self.draw_among(lot, |_| true))
     }
 
     fn draw_among(&self, lot: f64, fit: impl Fn(&Node) -> bool) -> Option<CellId> {
-        let eligible = self.nodes.values().filter(|n| n.listed == Listed::Up && fit(n));
-        weighted(lot, &eligible.map(|n| (n.cell, n.weight)).collect::<Vec<_>>())
+        let eligible = || self.nodes.values().filter(|n| n.listed == Listed::Up && fit(n));
+        let known: Vec<f64> = eligible().filter_map(|n| n.short).collect();
+        let usual = known.iter().sum::<f64>() / known.len().max(1) as f64;
+        weighted(lot, &eligible().map(|n| (n.cell, n.weight * pull(n, usual, self.now))).collect::<Vec<_>>())
     }
 
     /// Sends from a cell's queue while its node has room, best first.
@@ -623,10 +621,8 @@
 
     /// Cold nodes: what this initiator may still send. Two accounts, the larger counts. Its even part of what
     /// is always borne, within the rule's span, grows with the least capacity the node must have by its age.
-    /// And of what it is served by a warm node, in the mean of them, a part: all initiators together are served
-    /// no more by one than it can do, so the parts are within what a cold one bears. The mean, since one of a
-    /// hundred initiators meets each node once in seconds. Harms a node that is warm already: it idles until
-    /// the list or its age clears it.
+    /// And a part of what the old node served it, or warm ones in the mean: they serve all initiators together
+    /// no more than one can do. Harms a node that is warm already: it idles until its age clears it.
     fn cold_room(&self, node: &Node) -> f64 {
         let Some(since) = node.cold_since else { return f64::INFINITY };
         let growth = self.warmth(self.now - since) / self.warmth(0);
@@ -699,6 +695,7 @@
         if let Some(node) = self.nodes.get_mut(&at) {
             if node.cold_since.is_none() {
                 self.served.add(now, units, SERVED_MEMORY);
+                node.served.add(now, units, SERVED_MEMORY);
             }
             node.answer(now, took as f64 / relative, aim);
         }
@@ -749,7 +746,7 @@
         if live.queued || live.out > 0 || live.streaming {
             return;
         }
-        // What never ran, for want of a connection, has cost nobody anything; a new object goes elsewhere.
+        // What never ran, for want of a connection, has cost nobody anything.
         let elsewhere = outcome == Outcome::Refused && live.req.cell.is_none();
         let crowded = self.admitted_part() < 1.0 && !elsewhere;
         let over = outcome == Outcome::TimedOut && self.now >= self.aim(live);
@@ -879,10 +876,14 @@
         if warm > 0.0 {
             self.warm_rate = self.served.now(now, SERVED_MEMORY) / warm;
         }
-        let gained = self.warm_rate * (now - self.tick_at) as f64 / 1e9;
+        let (least, passed) = (self.warm_rate * COLD_EVEN, (now - self.tick_at) as f64 / 1e9);
         self.tick_at = now;
         for ((id, node), part) in self.nodes.iter_mut().zip(parts) {
-            node.cold_level = (node.cold_level + part * gained).min(mean);
+            if node.listed == Listed::Up && node.cold_since.is_none() && node.health == Health::Good {
+                node.usual = node.served.now(now, SERVED_MEMORY);
+            }
+            let gained = part * node.usual.max(least) * passed;
+            node.cold_level = (node.cold_level + gained).min(mean * COLD_DEPTH);
             let oldest = node.out.values().map(|s| s.at).min();
             if let Some(oldest) = oldest {
                 let usual = node.out.values().map(|s| s.expected).fold(node.slow, f64::max);
@@ -1059,6 +1060,16 @@
     }
 }
 
+/// Ours, on the weight of the design, which one initiator of a hundred meets a node too seldom to halve in time:
+/// quick nodes heard of lately come first. There it knows what it does and has a connection, each of which costs
+/// work; each initiator keeps to some nodes of its own, so that together they use all.
+fn pull(node: &Node, usual: f64, now: Nanos) -> f64 {
+    let quick = usual.max(1.0) / node.short.unwrap_or(usual).max(1.0);
+    let silent = if node.short.is_some() { (now - node.learnt_at) as f64 } else { f64::INFINITY };
+    let fresh = (-silent / PULL_MEMORY).exp().max(PULL_STALE);
+    fresh * quick.powi(PULL).clamp(1.0 / PULL_MOST, PULL_MOST)
+}
+
 /// The order in which the nodes of a cell are preferred.
 fn rank(&(id, n): &(NodeId, &Node)) -> (bool, bool, Nanos, NodeId) {
     (n.health != Health::Good, n.cold_since.is_some(), -n.came_up, id)
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -147,6 +147,9 @@
     pub cold_sent: VecDeque<(Nanos, f64)>,
     /// Units that may go to it while it is cold, of this initiator's own rate before.
     pub cold_level: f64,
+    /// Units a second that it serves this initiator, and served it when it was last up, well and warm.
+    pub served: Rate,
+    pub usual: f64,
     pub base: f64,
     pub weight: f64,
     pub short: Option<f64>,
@@ -212,6 +215,8 @@
             cold_until: 0,
             cold_sent: VecDeque::new(),
             cold_level: 0.0,
+            served: Rate::new(now),
+            usual: 0.0,
             base: 1.0,
             weight: 1.0,
             short: None,
@@ -397,12 +402,23 @@
         (ago(self.now), self.started, self.random.get_seed()).hash(h);
         for (id, n) in &self.nodes {
             (id, n.cell, n.zone, n.listed, n.cold_since.map(ago), ago(n.cold_until), n.flagged).hash(h);
-            for x in [n.cold_level, n.base, n.weight, n.slow, n.near, n.tightest, n.credit, n.window] {
+            for x in [
+                n.cold_level,
+                n.usual,
+                n.served.per_second,
+                n.base,
+                n.weight,
+                n.slow,
+                n.near,
+                n.tightest,
+                n.credit,
+                n.window,
+            ] {
                 bits(x).hash(h);
             }
             (n.short.map(bits), n.best.map(bits), ago(n.best_at), ago(n.learnt_at), ago(n.period_at)).hash(h);
             (n.narrowed, n.health, n.losses, ago(n.answer_at), ago(n.answered_of)).hash(h);
-            (ago(n.trial_at), n.trial_gap).hash(h);
+            (ago(n.trial_at), n.trial_gap, ago(n.served.at)).hash(h);
             n.cold_sent.iter().for_each(|(t, u)| (ago(*t), bits(*u)).hash(h));
             for (key, s) in &n.out {
                 (key, ago(s.at), bits(s.expected), ago(s.due), s.counted).hash(h);
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -173,3 +173,46 @@
     assert!(!refused(&sent, id), "it was refused: {sent:?}");
     assert!(again.iter().any(|(r, to)| *r == id && *to != at), "it went elsewhere: {again:?}");
 }
+
+/// New objects may go anywhere. A hundred initiators that each send a few a second keep to nodes that they have
+/// heard of lately, each to its own, so that a connection is used again and a slow node shows; together they use
+/// all nodes, and leave the slow one out.
+#[test]
+fn new_objects_keep_to_nodes_heard_of_lately_and_leave_a_slow_one_out() {
+    let mut set = settings();
+    set.initiators = COUNT as u32;
+    let mut random = fastrand::Rng::with_seed(3);
+    let mut rigs: Vec<Rig> = (0..COUNT as u64).map(|seed| Rig::seeded(set.clone(), NODES, seed)).collect();
+    let began = rigs[0].now;
+    let mut out: Vec<(Nanos, usize, ReqId, NodeId, Nanos)> = Vec::new();
+    let (mut late, mut users) = (vec![0; NODES], vec![std::collections::BTreeSet::new(); NODES]);
+    for step in 0..2000 {
+        let now = began + step * 10 * MS;
+        rigs.iter_mut().for_each(|r| r.now = now);
+        let mut sent = Vec::new();
+        let (due, still): (Vec<_>, Vec<_>) = out.into_iter().partition(|o| o.0 <= now);
+        out = still;
+        for (_, who, id, at, at_first) in due {
+            sent.extend(
+                places(&rigs[who].end(id, 0, at, Outcome::Done, now - at_first))
+                    .into_iter()
+                    .map(|p| (who, p)),
+            );
+        }
+        for id in [3 * step as ReqId, 3 * step as ReqId + 1, 3 * step as ReqId + 2] {
+            let who = random.usize(0..COUNT);
+            sent.extend(places(&rigs[who].ask(request(id, 2, None))).into_iter().map(|p| (who, p)));
+        }
+        for (who, (id, at)) in sent {
+            // Node 0 is ten times slower than the others.
+            out.push((now + if at == 0 { 190 * MS } else { 20 * MS }, who, id, at, now));
+            users[at].insert(who);
+            late[at] += usize::from(step >= 1000);
+        }
+    }
+    let pairs: usize = users.iter().map(std::collections::BTreeSet::len).sum();
+    assert!(pairs < 2200, "{pairs} pairs of an initiator and a node have met, each a connection");
+    assert!(users.iter().all(|u| u.len() >= 10), "every node is used by some");
+    let mean = late[1..].iter().sum::<usize>() / (NODES - 1);
+    assert!(late[0] * 4 < mean, "the slow node got {} in the last 10 s, the others {mean}", late[0]);
+}
