--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -67,8 +67,6 @@
 /// first, within these bounds, and with these steps for an attempt that was answered in time or was not.
 const COLD_PART: std::ops::RangeInclusive<f64> = 0.4..=2.0;
 const COLD_STEPS: [f64; 2] = [1.2, 0.8];
-/// Of what a warm node serves it in the mean, an initiator takes this part for granted at any.
-const COLD_EVEN: f64 = 1.0;
 /// Requests of mean size that may be saved up for a cold node.
 const COLD_DEPTH: f64 = 3.0;
 /// Memory of what the warm nodes serve.
@@ -434,8 +432,8 @@
 
     fn draw_among(&self, lot: f64, fit: impl Fn(&Node) -> bool) -> Option<CellId> {
         let eligible = || self.nodes.values().filter(|n| n.listed == Listed::Up && fit(n));
-        let known: Vec<f64> = eligible().filter_map(|n| n.short).collect();
-        let usual = known.iter().sum::<f64>() / known.len().max(1) as f64;
+        let known = || eligible().filter_map(|n| n.short);
+        let usual = known().sum::<f64>() / known().count().max(1) as f64;
         weighted(lot, &eligible().map(|n| (n.cell, n.weight * pull(n, usual, self.now))).collect::<Vec<_>>())
     }
 
@@ -592,7 +590,7 @@
         let Some(live) = self.live.get(&id) else { return };
         let (class, left) = (&self.set.classes[live.req.class], self.aim(live) - now);
         let in_time = left > 0 && class.late_worth < LOW_WORTH && class.semantics == Semantics::Idempotent;
-        let crowded = self.admission.bad > BAD_SOME;
+        let much_late = self.admission.bad > BAD_SOME;
         let expected = self.expect(live, &self.nodes[&at]);
         let tightest = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
         let sign = (tightest * BAD_AIM).max(SILENCE_LEAST as f64);
@@ -612,17 +610,16 @@
             node.trial_at = now + (node.trial_gap as f64 * jitter) as Nanos;
             node.trial_gap = (node.trial_gap * 2).min(most);
         }
-        // Where much is late, what is late is worth less than the place it waits in: it is given up at its aim.
-        // Guards against queues full of work past its aim, which no initiator of a hundred sees. Costs reads
-        // that would have been late; a write is left alone, lest it be in doubt.
-        let spare = crowded && in_time && self.set.cancelling;
+        // Where much is late, a late read is worth less than its place in a queue: it ends at its aim.
+        // Guards against queues of late work, which no initiator of a hundred sees; a write is left alone.
+        let spare = much_late && in_time && self.set.cancelling;
         actions.push(Action::Place { id, node: at, patience: if spare { left } else { 0 } });
     }
 
     /// Cold nodes: what this initiator may still send. Two accounts, the larger counts. Its even part of what
     /// is always borne, within the rule's span, grows with the least capacity the node must have by its age.
-    /// And a part of what the old node served it, or warm ones in the mean: they serve all initiators together
-    /// no more than one can do. Harms a node that is warm already: it idles until its age clears it.
+    /// And a part of what the old node served it, or a warm one does in the mean: the sum over the initiators
+    /// may be twice what a node can do, so late answers narrow the part. Harms a node that is warm already.
     fn cold_room(&self, node: &Node) -> f64 {
         let Some(since) = node.cold_since else { return f64::INFINITY };
         let growth = self.warmth(self.now - since) / self.warmth(0);
@@ -682,8 +679,8 @@
     /// Learns the class's cost and the node's latency from an answer.
     fn learn(&mut self, id: ReqId, at: NodeId, took: Nanos) {
         let live = &self.live[&id];
-        let units = live.req.units;
-        let (class, per_unit) = (live.req.class, took as f64 / units.max(0.1));
+        let (class, units) = (live.req.class, live.req.units);
+        let per_unit = took as f64 / units.max(0.1);
         let cost = &mut self.unit_cost[class];
         // Leans to the low side: what a unit costs with little waiting.
         let alpha = if per_unit < *cost { 0.05 } else { 0.005 };
@@ -694,7 +691,6 @@
         let aim = aims.min().unwrap_or(0) as f64;
         if let Some(node) = self.nodes.get_mut(&at) {
             if node.cold_since.is_none() {
-                self.served.add(now, units, SERVED_MEMORY);
                 node.served.add(now, units, SERVED_MEMORY);
             }
             node.answer(now, took as f64 / relative, aim);
@@ -848,6 +844,7 @@
         if self.now - self.second_at >= SECOND {
             self.second_at = self.now;
             self.move_base();
+            self.note_served();
             self.trim(VOLUME_IDLE, self.budget().look_back);
             actions.extend(self.forget_gone().into_iter().map(Action::Forget));
         }
@@ -871,19 +868,11 @@
         let colds = self.nodes.values().map(|n| n.cold_since.map_or(1.0, |s| self.warmth(now - s)));
         let part = self.cold_part * self.set.tip_multiple;
         let parts: Vec<f64> = colds.map(|w| (part * w).min(self.cold_part.max(1.0))).collect();
-        let warm = |n: &&Node| n.listed == Listed::Up && n.cold_since.is_none() && n.health == Health::Good;
-        let warm = self.nodes.values().filter(warm).count() as f64;
-        if warm > 0.0 {
-            self.warm_rate = self.served.now(now, SERVED_MEMORY) / warm;
-        }
-        let (least, passed) = (self.warm_rate * COLD_EVEN, (now - self.tick_at) as f64 / 1e9);
+        let (least, passed) = (self.warm_rate, (now - self.tick_at) as f64 / 1e9);
         self.tick_at = now;
         for ((id, node), part) in self.nodes.iter_mut().zip(parts) {
-            if node.listed == Listed::Up && node.cold_since.is_none() && node.health == Health::Good {
-                node.usual = node.served.now(now, SERVED_MEMORY);
-            }
-            let gained = part * node.usual.max(least) * passed;
-            node.cold_level = (node.cold_level + gained).min(mean * COLD_DEPTH);
+            let level = node.cold_level + part * node.usual.max(least) * passed;
+            node.cold_level = level.min(mean * COLD_DEPTH);
             let oldest = node.out.values().map(|s| s.at).min();
             if let Some(oldest) = oldest {
                 let usual = node.out.values().map(|s| s.expected).fold(node.slow, f64::max);
@@ -901,6 +890,18 @@
         }
     }
 
+    /// What each warm node serves this initiator, and one of them in the mean, for when a node starts anew.
+    fn note_served(&mut self) {
+        let (mut sum, mut count) = (0.0, 0.0);
+        for node in self.nodes.values_mut().filter(|n| n.is_warm()) {
+            node.usual = node.served.now(self.now, SERVED_MEMORY);
+            (sum, count) = (sum + node.usual, count + 1.0);
+        }
+        if count > 0.0 {
+            self.warm_rate = sum / count;
+        }
+    }
+
     /// Early answers: whatever cannot be answered before its client leaves, cannot pass its limit before its
     /// aim, or waits past its aim for a node that does not answer, is given up at once.
     fn give_up(&mut self, actions: &mut Vec<Action>) {
@@ -1060,9 +1061,8 @@
     }
 }
 
-/// Ours, on the weight of the design, which one initiator of a hundred meets a node too seldom to halve in time:
-/// quick nodes heard of lately come first. There it knows what it does and has a connection, each of which costs
-/// work; each initiator keeps to some nodes of its own, so that together they use all.
+/// Ours, on the weight of the design, which one initiator of a hundred learns too late: quick nodes heard of
+/// lately come first, where a connection is open. Each keeps to some of its own; together they use all.
 fn pull(node: &Node, usual: f64, now: Nanos) -> f64 {
     let quick = usual.max(1.0) / node.short.unwrap_or(usual).max(1.0);
     let silent = if node.short.is_some() { (now - node.learnt_at) as f64 } else { f64::INFINITY };
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -197,6 +197,11 @@
         }
     }
 
+    /// Up, well and not cold: what it serves is what such a node can do.
+    pub fn is_warm(&self) -> bool {
+        self.listed == Listed::Up && self.health == Health::Good && self.cold_since.is_none()
+    }
+
     /// Moves base, the weight keeping its part of it.
     pub fn shift_base(&mut self, by: f64) {
         let part = self.weight / self.base;
@@ -335,11 +340,9 @@
     pub(crate) most_patience: Vec<Nanos>,
     pub(crate) stay: Vec<Stay>,
     pub(crate) admission: Admission,
-    /// Units a second that the warm nodes serve.
-    pub(crate) served: Rate,
-    /// Of that for each of them, as last known while there were any.
+    /// Units a second that a warm node serves this initiator in the mean, as last known while there were any.
     pub(crate) warm_rate: f64,
-    /// Of what cold nodes can bear by what these serve, the part that they are sent.
+    /// Of what cold nodes can bear by that, the part that they are sent.
     pub(crate) cold_part: f64,
     pub(crate) second_at: Nanos,
     pub(crate) tick_at: Nanos,
@@ -376,7 +379,6 @@
             most_patience,
             stay,
             admission: Admission::default(),
-            served: Rate::new(now),
             warm_rate: 0.0,
             cold_part: 0.0,
             second_at: now,
@@ -446,7 +448,7 @@
         }
         let door = &self.admission;
         (door.bound.map(bits), bits(door.bad), bits(self.cold_part), bits(self.warm_rate)).hash(h);
-        for rate in [&door.asked, &door.counted, &door.sent, &self.served] {
+        for rate in [&door.asked, &door.counted, &door.sent] {
             (bits(rate.per_second), ago(rate.at)).hash(h);
         }
         door.recent.iter().for_each(|x| bits(*x).hash(h));
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -1,5 +1,5 @@
-//! What a front takes in and does, one JSON object a line on standard error, for those who count across a fleet:
-//! Off unless [`VARIABLE`] is 1, and then worth one look at a flag.
+//! What a front takes in and does, one JSON object a line on standard error, for those who count across a fleet.
+//! Off, and then worth one look at a flag, unless the environment variable [`VARIABLE`] is 1.
 //!
 //! Each line has `t` (Unix time in seconds), `e` (what it is about) and what that brings.
 
