Add the machines for limits of the whole fleet: contacts, quota, and their simulation

crates/peers: who is there, told apart by place and boot (a boot counts once it has shown that it hears; a second one is a stranger until the first was silent for a life), and messages with a keyed digest. crates/quota: floors, banks held by agreement of half or more, loans. crates/lab: schedules of faults from seeds, the machines under a simulated network with clocks that drift by 4%, shrinking, replay.

--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,7 @@
+//! The lab's program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    tulipbridge_lab::cli::main()
+}
--- /dev/null
+++ b/crates/lab/src/simulate.rs
@@ -0,0 +1,421 @@
+//! The machines of many fronts in one process, under a network and clocks of the simulation's own.
+//!
+//! Each front has its own clock, which runs fast or slow within the stated drift; a front that is stopped hears
+//! nothing and sends nothing, and what waited for it comes at once when it goes on. After every event the rights of
+//! all processes that run are added up.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use fastrand::Rng;
+use serde::Serialize;
+use tulipbridge_quota::{Beat, Boot, Effect, Event, Nanos, Part, Place, Quota, Terms, Volume, WHOLE};
+
+use crate::schedule::{Fault, Millis, Schedule};
+
+const MS: i128 = 1_000_000;
+/// Clocks may differ by this in millionths; large, so that time matters.
+const DRIFT: u32 = 40_000;
+/// The volume that is asked for.
+const VOLUME: Volume = 7;
+
+/// What a run showed.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Verdict {
+    /// The most that all rights came to, in millionths of the limit.
+    pub most: Part,
+    /// When, in milliseconds.
+    pub at: Millis,
+    /// What the bound was at the moment of the largest excess; a failure is `most` above it.
+    pub allowed: Part,
+    /// Whether rights went over the bound.
+    pub over: bool,
+    /// Once all was healed and had settled, the rights in use where any was asked for.
+    pub healed: Option<Part>,
+    /// What they should have been at least.
+    pub owed: Part,
+    /// Messages sent.
+    pub messages: u64,
+}
+
+impl Verdict {
+    /// Whether the run kept every bound.
+    pub fn holds(&self) -> bool {
+        !self.over && self.healed.is_none_or(|healed| healed >= self.owed)
+    }
+}
+
+struct Process {
+    place: usize,
+    quota: Quota,
+    /// The clock: at the simulation's `began` it read `read`, and it gains `ppm` millionths.
+    began: i128,
+    read: i128,
+    ppm: i128,
+    stopped: bool,
+    /// What came while it stood still.
+    waiting: Vec<(usize, Place, Boot, Beat)>,
+    rights: BTreeMap<Volume, Part>,
+    twin: bool,
+}
+
+impl Process {
+    fn now(&self, at: i128) -> Nanos {
+        let since = at - self.began;
+        (self.read + since + since * self.ppm / 1_000_000) as Nanos
+    }
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Beat(usize),
+    Ask(usize),
+    Deliver(usize),
+    Step(usize),
+    Start(usize),
+    Continue(usize),
+    End(usize),
+    Take(usize),
+}
+
+struct Message {
+    /// The process it goes to.
+    to: usize,
+    /// The process it came from: where a reply goes.
+    via: usize,
+    from: Place,
+    boot: Boot,
+    beat: Beat,
+}
+
+struct World<'a> {
+    schedule: &'a Schedule,
+    lot: Rng,
+    now: i128,
+    queue: BinaryHeap<Reverse<(i128, u64, Due)>>,
+    number: u64,
+    /// Every process there ever was; `None` has ended.
+    processes: Vec<Option<Process>>,
+    /// Which process has a place's address.
+    address: Vec<Option<usize>>,
+    messages: BTreeMap<usize, Message>,
+    cut: Vec<Vec<bool>>,
+    weather: (u8, u8, Millis),
+    rates: Vec<u32>,
+    terms: Vec<Terms>,
+    /// Twins there have been that may still be: each may add a floor and a bank.
+    twins: u32,
+    verdict: Verdict,
+}
+
+/// Runs a schedule.
+pub fn run(schedule: &Schedule) -> Verdict {
+    let fronts = schedule.fronts;
+    let mut world = World {
+        lot: Rng::with_seed(schedule.seed ^ 0x5eed),
+        now: 0,
+        queue: BinaryHeap::new(),
+        number: 0,
+        processes: Vec::new(),
+        address: vec![None; fronts],
+        messages: BTreeMap::new(),
+        cut: vec![vec![false; fronts]; fronts],
+        weather: (0, 0, 2),
+        rates: vec![0; fronts],
+        terms: (0..fronts)
+            .map(|me| Terms { drift: DRIFT, ..Terms::new(me as Place, fronts as Place, 1) })
+            .collect(),
+        twins: 0,
+        verdict: Verdict::default(),
+        schedule,
+    };
+    for place in 0..fronts {
+        let at = i128::from(world.lot.u64(0..400)) * MS;
+        world.due(at, Due::Start(place));
+    }
+    for (number, step) in schedule.steps.iter().enumerate() {
+        world.due(i128::from(step.at) * MS, Due::Step(number));
+    }
+    let end = i128::from(schedule.millis) * MS;
+    world.until(end);
+    world.heal();
+    world.until(end + 10_000 * MS);
+    // Shares of the load move from moment to moment: the mean of four seconds.
+    let looks: Vec<Option<Part>> = (0..40)
+        .map(|look| {
+            world.until(end + (10_000 + look * 100) * MS);
+            world.in_use()
+        })
+        .collect();
+    world.settle(&looks);
+    world.verdict
+}
+
+impl World<'_> {
+    fn due(&mut self, at: i128, due: Due) {
+        self.number += 1;
+        self.queue.push(Reverse((at, self.number, due)));
+    }
+
+    fn until(&mut self, end: i128) {
+        while self.queue.peek().is_some_and(|Reverse((at, _, _))| *at <= end) {
+            let Some(Reverse((at, _, due))) = self.queue.pop() else { return };
+            self.now = at;
+            self.happen(due);
+            self.judge();
+        }
+        self.now = end;
+    }
+
+    fn happen(&mut self, due: Due) {
+        match due {
+            Due::Beat(process) => {
+                let Some(running) = &self.processes[process] else { return };
+                let beat = i128::from(running.quota.terms().beat);
+                let stopped = running.stopped;
+                let wait = beat + i128::from(self.lot.i64(-20_000_000..20_000_000));
+                self.due(self.now + wait, Due::Beat(process));
+                if !stopped {
+                    self.feed(process, process, Event::Beat);
+                }
+            }
+            Due::Ask(place) => {
+                let rate = self.rates[place];
+                if rate == 0 {
+                    return;
+                }
+                let wait = -(1.0 - self.lot.f64()).ln() / f64::from(rate) * 1e9;
+                self.due(self.now + wait as i128 + 1, Due::Ask(place));
+                if let Some(process) = self.address[place] {
+                    if self.processes[process].as_ref().is_some_and(|p| !p.stopped) {
+                        self.feed(process, process, Event::Asked { volume: VOLUME, units: 2.0 });
+                    }
+                }
+            }
+            Due::Deliver(number) => {
+                let Some(message) = self.messages.remove(&number) else { return };
+                let Some(process) = &mut self.processes[message.to] else { return };
+                if process.stopped {
+                    process.waiting.push((message.via, message.from, message.boot, message.beat));
+                    return;
+                }
+                let event = Event::Heard { from: message.from, boot: message.boot, beat: message.beat };
+                self.feed(message.to, message.via, event);
+            }
+            Due::Step(number) => {
+                let fault = self.schedule.steps[number].fault.clone();
+                self.strike(fault);
+            }
+            Due::Start(place) => {
+                if self.address[place].is_none() {
+                    self.address[place] = Some(self.start(place, false));
+                }
+            }
+            Due::Continue(process) => {
+                let Some(running) = &mut self.processes[process] else { return };
+                running.stopped = false;
+                // The shell looks at the clock before it does anything else; what waited comes then.
+                let waiting = std::mem::take(&mut running.waiting);
+                self.feed(process, process, Event::Look);
+                self.judge();
+                for (via, from, boot, beat) in waiting {
+                    self.feed(process, via, Event::Heard { from, boot, beat });
+                }
+            }
+            Due::End(process) => {
+                if self.processes[process].as_ref().is_some_and(|p| p.twin) {
+                    self.twins -= 1;
+                }
+                self.processes[process] = None;
+                for address in &mut self.address {
+                    if *address == Some(process) {
+                        *address = None;
+                    }
+                }
+            }
+            Due::Take(place) => {
+                let terms = self.terms[place].clone();
+                if let Some(process) = self.address[place] {
+                    if self.processes[process].as_ref().is_some_and(|p| !p.stopped) {
+                        self.feed(process, process, Event::Terms(terms));
+                    } else {
+                        self.due(self.now + 50 * MS, Due::Take(place));
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, place: usize, twin: bool) -> usize {
+        let (process, ppm) = (self.processes.len(), self.lot.i32(-19_000..19_000));
+        // Each process has a clock of its own, that shows any time.
+        let read = i128::from(self.lot.u32(1..4_000_000)) * MS;
+        let boot = self.lot.u64(1..u64::MAX);
+        let quota = Quota::new(self.terms[place].clone(), boot, read as Nanos).expect("terms hold");
+        let (began, ppm) = (self.now, i128::from(ppm));
+        let (stopped, waiting, rights) = (false, Vec::new(), BTreeMap::new());
+        self.processes.push(Some(Process { place, quota, began, read, ppm, stopped, waiting, rights, twin }));
+        self.due(self.now + 1, Due::Beat(process));
+        process
+    }
+
+    fn strike(&mut self, fault: Fault) {
+        let fronts = self.schedule.fronts;
+        let after = |millis: Millis| i128::from(millis) * MS;
+        match fault {
+            Fault::Cut { from, to } => self.cut[from][to] = true,
+            Fault::Split { side } => {
+                for (from, row) in self.cut.iter_mut().enumerate() {
+                    for (to, cut) in row.iter_mut().enumerate() {
+                        *cut = side.contains(&from) != side.contains(&to);
+                    }
+                }
+            }
+            Fault::Heal => self.cut = vec![vec![false; fronts]; fronts],
+            Fault::Weather { lost, repeated, late } => self.weather = (lost, repeated, late),
+            Fault::Stop { front, millis } => {
+                let Some(process) = self.address[front] else { return };
+                if let Some(running) = self.processes[process].as_mut().filter(|p| !p.stopped) {
+                    running.stopped = true;
+                    self.due(self.now + after(millis), Due::Continue(process));
+                }
+            }
+            Fault::Kill { front, back } => {
+                if let Some(process) = self.address[front] {
+                    self.happen(Due::End(process));
+                }
+                if let Some(back) = back {
+                    self.due(self.now + after(back), Due::Start(front));
+                }
+            }
+            Fault::Leave { front, back } => {
+                let Some(process) = self.address[front] else { return };
+                if self.processes[process].as_ref().is_some_and(|p| p.stopped) {
+                    return;
+                }
+                self.feed(process, process, Event::Leave);
+                self.feed(process, process, Event::Beat);
+                self.happen(Due::End(process));
+                self.due(self.now + after(back), Due::Start(front));
+            }
+            Fault::Twin { front, millis } => {
+                self.twins += 1;
+                let process = self.start(front, true);
+                self.due(self.now + after(millis), Due::End(process));
+            }
+            Fault::Load { front, rate } => {
+                let idle = std::mem::replace(&mut self.rates[front], rate) == 0;
+                if idle && rate > 0 {
+                    self.due(self.now, Due::Ask(front));
+                }
+            }
+            Fault::Roster { each, floor } => {
+                for place in 0..fronts {
+                    let terms = &mut self.terms[place];
+                    terms.revision += 1;
+                    terms.roster = terms.roster.wrapping_mul(31).wrapping_add(u64::from(floor));
+                    terms.floor = WHOLE / 100 * Part::from(floor);
+                    // Files are laid first; each front takes its own when it is told to, or when it starts.
+                    self.due(self.now + after(each * place as Millis), Due::Take(place));
+                }
+            }
+        }
+    }
+
+    fn feed(&mut self, process: usize, via: usize, event: Event) {
+        let Some(running) = &mut self.processes[process] else { return };
+        let mut effects = Vec::new();
+        let (now, boot) = (running.now(self.now), running.quota.boot());
+        running.quota.on(now, event, &mut effects);
+        let place = running.place;
+        for effect in effects {
+            match effect {
+                Effect::Right { volume, part, .. } => {
+                    if let Some(running) = &mut self.processes[process] {
+                        running.rights.insert(volume, part);
+                    }
+                }
+                Effect::Send { to, beat } => {
+                    if let Some(to) = self.address[usize::from(to)] {
+                        self.send(process, to, place, boot, *beat);
+                    }
+                }
+                Effect::Reply { beat } => self.send(process, via, place, boot, *beat),
+                Effect::Worth(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, via: usize, to: usize, from: usize, boot: Boot, beat: Beat) {
+        self.verdict.messages += 1;
+        let Some(place) = self.processes[to].as_ref().map(|p| p.place) else { return };
+        let (lost, repeated, late) = self.weather;
+        if self.cut[from][place] {
+            return;
+        }
+        let copies = 1 + usize::from(self.lot.u8(0..100) < repeated);
+        for _ in 0..copies {
+            if self.lot.u8(0..100) < lost {
+                continue;
+            }
+            let wait = i128::from(self.lot.u64(50_000..=(late * 1_000_000).max(100_000)));
+            let number = self.number as usize;
+            let (from, beat) = (from as Place, beat.clone());
+            self.messages.insert(number, Message { to, via, from, boot, beat });
+            self.due(self.now + wait, Due::Deliver(number));
+        }
+    }
+
+    /// Adds up what all processes that run may use now.
+    fn judge(&mut self) {
+        let mut sum = 0;
+        for number in 0..self.processes.len() {
+            let Some(process) = self.processes[number].as_ref().filter(|p| !p.stopped) else { continue };
+            if process.now(self.now) >= process.quota.ends_at() {
+                self.feed(number, number, Event::Look);
+            }
+            sum += self.processes[number].as_ref().and_then(|p| p.rights.get(&VOLUME)).copied().unwrap_or(0);
+        }
+        // What each copy of a name may add: a bank where n is even and it has half of the roster, and a floor.
+        let least = self.terms.iter().map(|t| t.floor_part() + t.bank_part()).max().unwrap_or(0);
+        let allowed = WHOLE + self.twins * least;
+        let excess = |most: Part, allowed: Part| i64::from(most) - i64::from(allowed);
+        if excess(sum, allowed) > excess(self.verdict.most, self.verdict.allowed.max(1)) {
+            (self.verdict.most, self.verdict.allowed) = (sum, allowed);
+            self.verdict.at = (self.now / MS) as Millis;
+        }
+        self.verdict.over |= sum > allowed;
+    }
+
+    fn heal(&mut self) {
+        self.strike(Fault::Heal);
+        self.weather = (0, 0, 2);
+        for number in 0..self.processes.len() {
+            if self.processes[number].as_ref().is_some_and(|p| p.twin) {
+                self.happen(Due::End(number));
+            }
+        }
+    }
+
+    /// What is in use of what is asked for, where that tells whether all is well: a roster that not all have taken
+    /// leaves everybody at floors, and so does a fleet of which half is gone.
+    fn in_use(&self) -> Option<Part> {
+        let there = || self.address.iter().filter_map(|a| self.processes[(*a)?].as_ref());
+        let asked = (0..self.schedule.fronts).any(|p| self.rates[p] > 0 && self.address[p].is_some());
+        let settled = there().all(|p| p.quota.is_settled() && p.quota.terms() == &self.terms[p.place]);
+        let most = 2 * there().count() > self.schedule.fronts;
+        (asked && settled && most).then(|| there().filter_map(|p| p.rights.get(&VOLUME)).sum())
+    }
+
+    /// Once all has been whole for long, what is asked for must be had.
+    fn settle(&mut self, looks: &[Option<Part>]) {
+        let seen: Vec<Part> = looks.iter().copied().flatten().collect();
+        if seen.len() < looks.len() {
+            return;
+        }
+        let mean = seen.iter().map(|s| u64::from(*s)).sum::<u64>() / seen.len().max(1) as u64;
+        self.verdict.healed = Some(mean as Part);
+        let gone = self.address.iter().filter(|a| a.is_none()).count() as Part;
+        self.verdict.owed = WHOLE - self.terms[0].floor_part() * gone - WHOLE / 10;
+    }
+}
--- /dev/null
+++ b/crates/quota/src/beat.rs
@@ -0,0 +1,59 @@
+//! What one front tells another with each beat.
+
+use serde::{Deserialize, Serialize};
+
+use tulipbridge_peers::Hello;
+
+use crate::{Boot, Nanos, Part, Place, Volume};
+
+/// What is asked for of a volume at the sender.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Ask {
+    /// The volume.
+    pub volume: Volume,
+    /// Thousandths of units a second.
+    pub milli: u64,
+}
+
+/// A part of a limit, lent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Loan {
+    /// The volume.
+    pub volume: Volume,
+    /// How much of its limit.
+    pub part: Part,
+}
+
+/// All that the sender lends the receiver: what an earlier one said and this one does not is lent no more.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Loans {
+    /// Counts the sender's beats to anybody.
+    pub number: u64,
+    /// The loans end this long after the receiver sent the beat that is echoed.
+    pub term: Nanos,
+    /// Each volume once.
+    pub parts: Vec<Loan>,
+}
+
+/// From one front to another.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Beat {
+    /// The sender's roster, as a digest.
+    pub roster: u64,
+    /// Its revision.
+    pub revision: u32,
+    /// What it says of itself.
+    pub hello: Hello,
+    /// Banks that the sender wants to hold or to go on holding.
+    pub wants: Vec<Place>,
+    /// Of the banks that the receiver wanted in the beat that is echoed, those that the sender agrees to.
+    pub agrees: Vec<Place>,
+    /// Who has taken the sender's roster, as far as it knows.
+    pub settled: Vec<Place>,
+    /// What the sender asks for.
+    pub asks: Vec<Ask>,
+    /// Number of the loans from the receiver that the sender uses now, with the receiver's boot.
+    pub uses: Option<(Boot, u64)>,
+    /// What the sender lends.
+    pub loans: Loans,
+}
--- /dev/null
+++ b/crates/quota/src/lib.rs
@@ -0,0 +1,35 @@
+//! Limits that hold for a whole fleet of fronts. Each front runs one [`Quota`]: it is told the time, what is asked for
+//! and what the others' beats say, and says which part of each limit its front may use now. The parts of all fronts
+//! together never exceed the whole, whatever is lost, late, repeated, cut off, stopped or started again.
+//!
+//! There is no I/O here and no clock. How it works and which bounds hold is in `docs/fleet-limits.md`.
+//!
+//! ```
+//! use tulipbridge_quota::{Event, Quota, Terms, WHOLE};
+//!
+//! let second = 1_000_000_000;
+//! let mut alone = Quota::new(Terms::new(0, 1, 7), 1, 0).expect("terms hold");
+//! let mut effects = Vec::new();
+//! alone.on(3 * second, Event::Beat, &mut effects);
+//! alone.on(3 * second, Event::Asked { volume: 9, units: 2.0 }, &mut effects);
+//! assert_eq!(alone.part(3 * second, 9), WHOLE, "the only front of a fleet may use it all");
+//! ```
+
+mod beat;
+mod machine;
+mod meter;
+pub mod seeded;
+mod terms;
+
+pub use beat::{Ask, Beat, Loan, Loans};
+pub use machine::{Effect, Event, Quota, Standing};
+pub use terms::{Terms, TermsError};
+pub use tulipbridge_peers::{Belief, Boot, Nanos, News, Place};
+
+/// A volume.
+pub type Volume = u64;
+/// Parts of a limit: [`WHOLE`] is all of it, for the whole fleet.
+pub type Part = u32;
+
+/// All of a limit.
+pub const WHOLE: Part = 1_000_000;
--- /dev/null
+++ b/crates/quota/src/machine.rs
@@ -0,0 +1,634 @@
+//! The machine of one front: it agrees to who holds which bank, holds banks, lends, borrows, and says which part of
+//! each limit its front may use.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{Hash, Hasher};
+
+use tulipbridge_peers::Contacts;
+
+use crate::meter::Meter;
+use crate::seeded::{seeded, Bug};
+use crate::*;
+
+/// What happens to a front.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A beat is due.
+    Beat,
+    /// A beat came, whose sender and integrity are proven.
+    Heard {
+        /// From which place.
+        from: Place,
+        /// The sender's boot.
+        boot: Boot,
+        /// What it says.
+        beat: Beat,
+    },
+    /// Units of a volume are asked for.
+    Asked {
+        /// The volume.
+        volume: Volume,
+        /// How many.
+        units: f64,
+    },
+    /// Time has passed: what has ended is used no more.
+    Look,
+    /// A new roster, or new terms.
+    Terms(Terms),
+    /// The front ends: it renews nothing and says so.
+    Leave,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// A beat goes to a front.
+    Send {
+        /// Where to.
+        to: Place,
+        /// What it says.
+        beat: Box<Beat>,
+    },
+    /// A beat goes back to where the event's message came from: its sender has another's name.
+    Reply {
+        /// What it says.
+        beat: Box<Beat>,
+    },
+    /// What came was worth this.
+    Worth(News),
+    /// From a moment on, which may be past, the front may use so much of a volume's limit.
+    Right {
+        /// The volume.
+        volume: Volume,
+        /// The part.
+        part: Part,
+        /// From when.
+        at: Nanos,
+    },
+}
+
+/// What a front believes of another, with the evidence.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// The belief.
+    pub belief: Belief,
+    /// Its boot, where it has been heard.
+    pub boot: Option<Boot>,
+    /// How long ago it was last heard.
+    pub silent: Option<Nanos>,
+    /// Who says that it hears it.
+    pub heard_by: Vec<Place>,
+    /// Another process with its name has spoken within a life.
+    pub stranger: Option<Boot>,
+    /// It runs with the same roster.
+    pub same_roster: bool,
+    /// Most that is lent to it of any volume.
+    pub lent: Part,
+    /// Most that is borrowed from it of any volume.
+    pub borrowed: Part,
+}
+
+/// Loans to another front that it may still use.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Lent {
+    number: u64,
+    until: Nanos,
+    parts: BTreeMap<Volume, Part>,
+}
+
+/// Loans from another front.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Borrowed {
+    number: u64,
+    until: Nanos,
+    parts: BTreeMap<Volume, Part>,
+}
+
+/// What passes between this front and another.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Peer {
+    same_roster: bool,
+    /// Of the banks that it wanted last, those agreed to.
+    agreed: Vec<Place>,
+    asks: BTreeMap<Volume, u64>,
+    lent: Vec<Lent>,
+    borrowed: Borrowed,
+    /// When a stranger under its name was last answered.
+    replied_at: Nanos,
+}
+
+/// Who an agreement was given to, and until when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Agreed {
+    to: (Place, Boot),
+    until: Nanos,
+}
+
+/// A bank that this front wants.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Wanted {
+    since: Nanos,
+    /// By place, until when it agrees, by this front's clock.
+    votes: BTreeMap<Place, Nanos>,
+    /// It goes back to its home: nothing of it is used or lent any more, and from this moment on nothing runs.
+    back: Option<Nanos>,
+}
+
+/// One front's part in limits that hold for the whole fleet.
+#[derive(Clone, Debug)]
+pub struct Quota {
+    terms: Terms,
+    contacts: Contacts,
+    /// Until then this front agrees to nothing and uses nothing of its own.
+    quiet_until: Nanos,
+    /// The floor while the roster is not settled.
+    old_floor: Part,
+    settled: BTreeSet<Place>,
+    peers: Vec<Peer>,
+    agreed: Vec<Option<Agreed>>,
+    wanted: BTreeMap<Place, Wanted>,
+    number: u64,
+    meter: Meter,
+    told: BTreeMap<Volume, Part>,
+    /// What is used now must be looked at again at this moment.
+    ends_at: Nanos,
+}
+
+impl Quota {
+    /// A front that has just started and remembers nothing. `boot` is drawn anew for each run.
+    ///
+    /// # Errors
+    /// Where the terms cannot hold.
+    pub fn new(terms: Terms, boot: Boot, now: Nanos) -> Result<Quota, TermsError> {
+        terms.check()?;
+        let fronts = usize::from(terms.fronts);
+        let first = terms.revision <= 1;
+        let mut quota = Quota {
+            quiet_until: now + terms.stretched(terms.life),
+            old_floor: if first { terms.floor_part() } else { 0 },
+            settled: BTreeSet::from([terms.me]),
+            peers: vec![Peer::default(); fronts],
+            agreed: vec![None; fronts],
+            wanted: BTreeMap::new(),
+            number: 0,
+            meter: Meter::default(),
+            told: BTreeMap::new(),
+            ends_at: Nanos::MAX,
+            contacts: Contacts::new(terms.me, terms.fronts, boot, terms.stretched(terms.life)),
+            terms,
+        };
+        if first {
+            quota.settled = (0..quota.terms.fronts).collect();
+        }
+        Ok(quota)
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn on(&mut self, now: Nanos, event: Event, effects: &mut Vec<Effect>) {
+        match event {
+            Event::Beat => {
+                self.look(now, effects);
+                for volume in self.meter.forget(now) {
+                    if self.told.remove(&volume).is_some_and(|part| part > 0) {
+                        effects.push(Effect::Right { volume, part: 0, at: now });
+                    }
+                }
+                self.want(now);
+                self.contacts.round(now);
+                let me = self.terms.me;
+                for to in (0..self.terms.fronts).filter(|to| *to != me) {
+                    let beat = Box::new(self.beat(now, to));
+                    effects.push(Effect::Send { to, beat });
+                }
+                self.tell(now, now, effects);
+            }
+            Event::Heard { from, boot, beat } => {
+                self.look(now, effects);
+                let news = self.heard(now, from, boot, beat);
+                effects.push(Effect::Worth(news));
+                // Two that are strangers to each other must not answer each other's answers without end.
+                let replied = self.peers.get(usize::from(from)).map_or(now, |p| p.replied_at);
+                if news == News::Stranger && now >= replied + self.terms.beat {
+                    self.peers[usize::from(from)].replied_at = now;
+                    let beat = Box::new(self.beat(now, from));
+                    effects.push(Effect::Reply { beat });
+                }
+                if matches!(news, News::Counts { .. }) {
+                    self.tell(now, now, effects);
+                }
+            }
+            Event::Asked { volume, units } => {
+                self.look(now, effects);
+                if self.meter.count(now, volume, units) {
+                    self.tell(now, now, effects);
+                }
+            }
+            Event::Look => self.look(now, effects),
+            Event::Terms(terms) => self.take(now, terms, effects),
+            Event::Leave => {
+                self.contacts.leave();
+                self.tell(now, now, effects);
+            }
+        }
+    }
+
+    /// The moment by which [`Event::Look`] must come: something that is used ends then.
+    pub fn ends_at(&self) -> Nanos {
+        self.ends_at
+    }
+
+    /// The part of a volume's limit that this front may use now.
+    pub fn part(&self, now: Nanos, volume: Volume) -> Part {
+        self.part_of(now, self.own(now), volume)
+    }
+
+    fn part_of(&self, now: Nanos, own: Part, volume: Volume) -> Part {
+        if self.stands_back(now) || self.contacts.is_leaving() {
+            return 0;
+        }
+        let lent = if seeded(Bug::OwnPartIsWhole) { 0 } else { self.lent(now, volume, None) };
+        let borrowed = self.peers.iter().filter(|p| now < p.borrowed.until);
+        let borrowed: Part = borrowed.filter_map(|p| p.borrowed.parts.get(&volume)).sum();
+        own.saturating_sub(lent) + borrowed
+    }
+
+    /// The banks that this front holds now.
+    pub fn banks(&self, now: Nanos) -> Vec<Place> {
+        let held = self.wanted.iter().filter(|(bank, w)| self.held_until(**bank, w) > now);
+        held.map(|(bank, _)| *bank).collect()
+    }
+
+    /// This run of the front.
+    pub fn boot(&self) -> Boot {
+        self.contacts.boot()
+    }
+
+    /// Who is there.
+    pub fn contacts(&self) -> &Contacts {
+        &self.contacts
+    }
+
+    /// The terms in force.
+    pub fn terms(&self) -> &Terms {
+        &self.terms
+    }
+
+    /// Whether every name is known to have taken the roster.
+    pub fn is_settled(&self) -> bool {
+        self.settled.len() == usize::from(self.terms.fronts)
+    }
+
+    /// Whether it has just started, and uses nothing of its own yet.
+    pub fn is_quiet(&self, now: Nanos) -> bool {
+        now < self.quiet_until
+    }
+
+    /// Whether another process has this front's name, so that this one uses nothing.
+    pub fn stands_back(&self, now: Nanos) -> bool {
+        self.contacts.is_shunned(now)
+    }
+
+    /// What it believes of another front.
+    pub fn standing(&self, now: Nanos, place: Place) -> Standing {
+        let peer = &self.peers[usize::from(place)];
+        let most = |parts: &BTreeMap<Volume, Part>| parts.values().copied().max().unwrap_or(0);
+        let lent = peer.lent.iter().filter(|l| now < l.until).map(|l| most(&l.parts)).max().unwrap_or(0);
+        let borrowed = if now < peer.borrowed.until { most(&peer.borrowed.parts) } else { 0 };
+        Standing {
+            belief: self.contacts.belief(now, place),
+            boot: self.contacts.boot_of(place),
+            silent: self.contacts.heard_at(place).map(|at| now - at),
+            heard_by: self.contacts.heard_by(now, place).collect(),
+            stranger: self.contacts.stranger(now, place),
+            same_roster: peer.same_roster,
+            lent,
+            borrowed,
+        }
+    }
+
+    /// The span after which what was given has ended by any clock.
+    fn span(&self) -> Nanos {
+        self.terms.stretched(self.terms.life)
+    }
+
+    /// Uses nothing that has ended.
+    fn look(&mut self, now: Nanos, effects: &mut Vec<Effect>) {
+        if now < self.ends_at || seeded(Bug::NoLookAfterStop) {
+            return;
+        }
+        let ended = self.ends_at;
+        self.tell(now, ended, effects);
+    }
+
+    /// Says which parts have changed. What has become less is so from the moment that something ended.
+    fn tell(&mut self, now: Nanos, ended: Nanos, effects: &mut Vec<Effect>) {
+        let volumes: Vec<Volume> = self.meter.volumes().collect();
+        let own = self.own(now);
+        for volume in volumes {
+            let part = self.part_of(now, own, volume);
+            let old = self.told.insert(volume, part);
+            if old != Some(part) {
+                let at = if old.is_some_and(|old| part < old) { ended } else { now };
+                effects.push(Effect::Right { volume, part, at });
+            }
+        }
+        let loans = self.peers.iter().map(|p| p.borrowed.until);
+        let banks = self.wanted.iter().map(|(bank, w)| self.held_until(*bank, w));
+        let quiet = [self.quiet_until].into_iter();
+        self.ends_at = loans.chain(banks).chain(quiet).filter(|t| *t > now).min().unwrap_or(Nanos::MAX);
+    }
+
+    /// Until when a bank is this front's to use.
+    fn held_until(&self, bank: Place, wanted: &Wanted) -> Nanos {
+        if wanted.back.is_some() && !seeded(Bug::BankBackAtOnce) {
+            return Nanos::MIN;
+        }
+        let mut quorum = self.terms.quorum(bank == self.terms.me);
+        if seeded(Bug::SmallQuorum) {
+            quorum = quorum.saturating_sub(1).max(1);
+        }
+        let mut votes: Vec<Nanos> = wanted.votes.values().copied().collect();
+        votes.sort_unstable_by(|a, b| b.cmp(a));
+        votes.get(quorum - 1).copied().unwrap_or(Nanos::MIN)
+    }
+
+    /// What this front may use and lend of every limit: its floor and its banks.
+    fn own(&self, now: Nanos) -> Part {
+        if (now < self.quiet_until && !seeded(Bug::FloorAtOnce)) || self.stands_back(now) {
+            return 0;
+        }
+        if !self.is_settled() {
+            return self.old_floor.min(self.terms.floor_part());
+        }
+        let banks = self.banks(now).len() as Part;
+        self.terms.floor_part() + banks * self.terms.bank_part()
+    }
+
+    /// Until when all that [`Quota::own`] counts now is this front's.
+    fn own_until(&self, now: Nanos) -> Nanos {
+        let held = self.wanted.iter().map(|(bank, w)| self.held_until(*bank, w)).filter(|t| *t > now);
+        held.min().unwrap_or(Nanos::MAX)
+    }
+
+    /// What others may use of a volume, of this front's; `but` is left out.
+    fn lent(&self, now: Nanos, volume: Volume, but: Option<Place>) -> Part {
+        let peers = self.peers.iter().enumerate().filter(|(place, _)| but != Some(*place as Place));
+        let most = |p: &Peer| {
+            let running = p.lent.iter().filter(|l| now < l.until);
+            let running = running.rev().take(if seeded(Bug::LoanFreedAtOnce) { 1 } else { usize::MAX });
+            running.filter_map(|l| l.parts.get(&volume)).max().copied().unwrap_or(0)
+        };
+        peers.map(|(_, p)| most(p)).sum()
+    }
+
+    /// Which banks to hold: its own always; that of a silent front where this is the next that is not.
+    fn want(&mut self, now: Nanos) {
+        let me = self.terms.me;
+        // What it has held runs on where it is lent: it is not given back, and ends by itself.
+        if self.contacts.is_leaving() || self.stands_back(now) || !self.is_settled() {
+            return;
+        }
+        self.wanted.entry(me).or_insert(Wanted { since: now, votes: BTreeMap::new(), back: None });
+        for bank in (0..self.terms.fronts).filter(|b| *b != me) {
+            let belief = self.contacts.belief(now, bank);
+            let silent = matches!(belief, Belief::Dead | Belief::Left | Belief::Unheard);
+            let next = silent && self.next_after(now, bank) == me;
+            let span = self.span();
+            let held = self.wanted.get(&bank).is_some_and(|w| self.held_until(bank, w) > now);
+            match self.wanted.get_mut(&bank) {
+                None if next => {
+                    self.wanted.insert(bank, Wanted { since: now, votes: BTreeMap::new(), back: None });
+                }
+                None => {}
+                // Lent from it is nothing any more: it goes back.
+                Some(Wanted { back: Some(back), .. }) if now >= *back => {
+                    self.wanted.remove(&bank);
+                }
+                Some(Wanted { back: Some(_), .. }) => {}
+                // Its home is there again. What was lent of it must end first.
+                Some(wanted) if !silent => {
+                    let wait = if held { span } else { 0 };
+                    wanted.back = Some(now + if seeded(Bug::BankBackAtOnce) { 0 } else { wait });
+                }
+                // Another tries, and this front has not won: two that try may keep each other from it.
+                Some(_) if !next && !held => {
+                    self.wanted.remove(&bank);
+                }
+                Some(_) => {}
+            }
+        }
+        self.wanted.retain(|_, w| w.back.is_none_or(|back| now < back));
+        // As one of those who agree.
+        if now >= self.quiet_until {
+            let until = now + self.terms.life;
+            let wants: Vec<Place> = self.wanted.keys().copied().collect();
+            for bank in wants {
+                if self.agrees(now, bank, (me, self.boot())) {
+                    if let Some(wanted) = self.wanted.get_mut(&bank) {
+                        wanted.votes.insert(me, until);
+                    }
+                }
+            }
+        }
+        let wants: Vec<Place> = self.wanted.keys().copied().collect();
+        self.release((me, self.boot()), &wants);
+    }
+
+    /// The first front after a place, in the ring, that is heard.
+    fn next_after(&self, now: Nanos, place: Place) -> Place {
+        let fronts = u32::from(self.terms.fronts);
+        let ring = (1..fronts).map(|step| ((u32::from(place) + step) % fronts) as Place);
+        let there = |p: &Place| *p == self.terms.me || self.is_with_us(now, *p);
+        ring.into_iter().find(there).unwrap_or(self.terms.me)
+    }
+
+    /// Agrees to a holder of a bank, or does not: never to two at a time.
+    fn agrees(&mut self, now: Nanos, bank: Place, to: (Place, Boot)) -> bool {
+        let until = now + self.span();
+        let Some(agreed) = self.agreed.get_mut(usize::from(bank)) else { return false };
+        let free = agreed.is_none_or(|a| a.until <= now || a.to == to);
+        if !free && !seeded(Bug::AgreesTwice) {
+            return false;
+        }
+        *agreed = Some(Agreed { to, until });
+        true
+    }
+
+    /// Frees banks that a holder no longer wants.
+    fn release(&mut self, holder: (Place, Boot), wants: &[Place]) {
+        for (bank, agreed) in self.agreed.iter_mut().enumerate() {
+            if agreed.is_some_and(|a| a.to == holder) && !wants.contains(&(bank as Place)) {
+                *agreed = None;
+            }
+        }
+    }
+
+    /// Whether a front is heard and runs with the same roster.
+    fn is_with_us(&self, now: Nanos, place: Place) -> bool {
+        self.contacts.belief(now, place) == Belief::Alive
+            && (self.peers[usize::from(place)].same_roster || seeded(Bug::AnyRoster))
+    }
+
+    fn heard(&mut self, now: Nanos, from: Place, boot: Boot, beat: Beat) -> News {
+        let (mine, quiet) = (self.boot(), now < self.quiet_until && !seeded(Bug::NoQuietTime));
+        let news = self.contacts.heard(now, from, boot, &beat.hello);
+        let News::Counts { first } = news else { return news };
+        let peer = &mut self.peers[usize::from(from)];
+        if first {
+            let lent = std::mem::take(&mut peer.lent);
+            let borrowed = std::mem::take(&mut peer.borrowed);
+            *peer = Peer { lent, ..Peer::default() };
+            if seeded(Bug::LoanForPredecessor) {
+                peer.borrowed = borrowed;
+            }
+        }
+        peer.same_roster = beat.roster == self.terms.roster && beat.revision == self.terms.revision;
+        if !peer.same_roster && !seeded(Bug::AnyRoster) {
+            // What it was lent runs on; nothing else passes between rosters.
+            peer.asks.clear();
+            peer.agreed.clear();
+            return news;
+        }
+        peer.asks = beat.asks.iter().map(|a| (a.volume, a.milli)).collect();
+        if let Some((_, used)) = beat.uses.filter(|(to, _)| *to == mine) {
+            peer.lent.retain(|l| l.number >= used);
+        }
+        peer.lent.retain(|l| now < l.until);
+        if let Some((_, asked)) = beat.hello.echo.filter(|(to, _)| *to == mine) {
+            let from_when = if seeded(Bug::LoanFromReceipt) { now } else { asked };
+            if beat.loans.number > peer.borrowed.number {
+                let parts = beat.loans.parts.iter().map(|l| (l.volume, l.part)).collect();
+                let until = from_when + beat.loans.term.clamp(0, self.terms.life);
+                peer.borrowed = Borrowed { number: beat.loans.number, until, parts };
+            }
+            let from_when = if seeded(Bug::BankFromReceipt) { now } else { asked };
+            for bank in &beat.agrees {
+                if let Some(wanted) = self.wanted.get_mut(bank) {
+                    if asked >= wanted.since || seeded(Bug::LateVoteCounts) {
+                        let until = wanted.votes.entry(from).or_insert(Nanos::MIN);
+                        *until = (*until).max(from_when + self.terms.life);
+                    }
+                }
+            }
+        }
+        self.settled.extend(beat.settled.iter().filter(|p| **p < self.terms.fronts));
+        self.settled.insert(from);
+        // Who ends takes back nothing of what it has lent: its banks are free once that has ended by itself.
+        let leaving = beat.hello.leaving && !seeded(Bug::LeavesAtOnce);
+        if !leaving {
+            self.release((from, boot), &beat.wants);
+        }
+        let wants: &[Place] = if quiet || leaving { &[] } else { &beat.wants };
+        let agreed = wants.iter().copied().filter(|bank| self.agrees(now, *bank, (from, boot))).collect();
+        self.peers[usize::from(from)].agreed = agreed;
+        news
+    }
+
+    /// What a front is told.
+    fn beat(&mut self, now: Nanos, to: Place) -> Beat {
+        self.number += 1;
+        let loans = self.lend(now, to);
+        let peer = &self.peers[usize::from(to)];
+        let mut asks: Vec<Ask> = self.meter.all(now).map(|(volume, milli)| Ask { volume, milli }).collect();
+        if asks.len() > self.terms.most_volumes {
+            asks.sort_unstable_by_key(|a| (std::cmp::Reverse(a.milli), a.volume));
+            asks.truncate(self.terms.most_volumes);
+        }
+        Beat {
+            roster: self.terms.roster,
+            revision: self.terms.revision,
+            hello: self.contacts.hello(now, to),
+            wants: match self.contacts.is_leaving() {
+                true => Vec::new(),
+                false => self.wanted.keys().copied().collect(),
+            },
+            agrees: if peer.same_roster { peer.agreed.clone() } else { Vec::new() },
+            settled: self.settled.iter().copied().collect(),
+            asks,
+            uses: self.contacts.boot_of(to).map(|boot| (boot, peer.borrowed.number)),
+            loans,
+        }
+    }
+
+    /// Lends a front what it has, in step with how much each volume is asked for at each front.
+    fn lend(&mut self, now: Nanos, to: Place) -> Loans {
+        let (number, own) = (self.number, self.own(now));
+        let until = self.own_until(now);
+        let alive: Vec<bool> = (0..self.terms.fronts)
+            .map(|p| self.is_with_us(now, p) && self.contacts.hears_me(now, p))
+            .collect();
+        let peer = &self.peers[usize::from(to)];
+        let left = (i128::from(until - now) * 1_000_000 / i128::from(1_000_000 + self.terms.drift)) as Nanos;
+        let left = if seeded(Bug::LoanOutlivesBank) { self.terms.life } else { left - 1 };
+        let term = left.min(self.terms.life);
+        if !alive[usize::from(to)]
+            || term <= 0
+            || own == 0
+            || !self.is_settled()
+            || self.contacts.is_leaving()
+        {
+            return Loans { number, ..Loans::default() };
+        }
+        let mut parts = Vec::new();
+        for (volume, milli) in peer.asks.iter().filter(|(_, milli)| **milli > 0) {
+            let others = self.peers.iter().zip(&alive).filter(|(_, alive)| **alive);
+            let others: u64 = others.filter_map(|(p, _)| p.asks.get(volume)).sum();
+            let all = others + self.meter.milli(now, *volume);
+            let share = (u128::from(own) * u128::from(*milli) / u128::from(all.max(1))) as Part;
+            let free = own.saturating_sub(self.lent(now, *volume, Some(to)));
+            let part = share.min(free);
+            if part > 0 {
+                parts.push(Loan { volume: *volume, part });
+            }
+        }
+        // It counts from when the beat that is echoed was sent, which was before it came.
+        let until = self.contacts.heard_at(to).unwrap_or(now) + self.terms.stretched(term);
+        if now < until && !parts.is_empty() {
+            let lent = parts.iter().map(|l| (l.volume, l.part)).collect();
+            self.peers[usize::from(to)].lent.push(Lent { number, until, parts: lent });
+        }
+        Loans { number, term, parts }
+    }
+
+    /// New terms: nothing of the old ones is renewed, and what runs ends before anything of the new is used.
+    fn take(&mut self, now: Nanos, terms: Terms, effects: &mut Vec<Effect>) {
+        if terms == self.terms || terms.check().is_err() {
+            return;
+        }
+        let floor = if self.is_settled() { self.terms.floor_part() } else { self.old_floor };
+        let Ok(mut fresh) = Quota::new(terms, self.boot(), now) else { return };
+        let span = fresh.span();
+        fresh.contacts = self.contacts.renewed(fresh.terms.me, fresh.terms.fronts, span);
+        // What was lent and agreed under the old terms may last as long as their life.
+        fresh.quiet_until = fresh.quiet_until.max(now + self.span());
+        fresh.old_floor = floor.min(fresh.terms.floor_part());
+        fresh.settled = BTreeSet::from([fresh.terms.me]);
+        fresh.number = self.number;
+        fresh.meter = std::mem::take(&mut self.meter);
+        fresh.told = std::mem::take(&mut self.told);
+        *self = fresh;
+        self.tell(now, now, effects);
+    }
+
+    /// All that later decisions hang on, with moments by how far they are from `now`: for checkers, which take
+    /// states of one fingerprint for one state.
+    pub fn fingerprint<H: Hasher>(&self, now: Nanos, h: &mut H) {
+        let ago = |t: Nanos| if t <= now { -1 } else { t - now };
+        (ago(self.quiet_until), self.old_floor, &self.settled).hash(h);
+        self.contacts.fingerprint(now, h);
+        for p in &self.peers {
+            (p.same_roster, &p.agreed, &p.asks).hash(h);
+            let running = p.lent.iter().filter(|l| now < l.until);
+            running.for_each(|l| (self.number - l.number, ago(l.until), &l.parts).hash(h));
+            (ago(p.borrowed.until), &p.borrowed.parts).hash(h);
+        }
+        for agreed in &self.agreed {
+            agreed.filter(|a| a.until > now).map(|a| (a.to, ago(a.until))).hash(h);
+        }
+        for (bank, w) in &self.wanted {
+            (bank, now - w.since, w.back.map(ago)).hash(h);
+            w.votes.iter().for_each(|(p, t)| (p, ago(*t)).hash(h));
+        }
+        self.meter.all(now).for_each(|a| a.hash(h));
+    }
+}
--- /dev/null
+++ b/crates/quota/src/meter.rs
@@ -0,0 +1,65 @@
+//! How much of each volume is asked for at this front.
+
+use std::collections::BTreeMap;
+
+use crate::{Nanos, Volume};
+
+/// Over this time an average forgets.
+const MEMORY: f64 = 1.5e9;
+/// A volume nobody asked for in this time is forgotten.
+const IDLE: Nanos = 15_000_000_000;
+
+/// Smoothed rates.
+#[derive(Clone, Debug, Default)]
+pub struct Meter {
+    rates: BTreeMap<Volume, Rate>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Rate {
+    per_second: f64,
+    at: Nanos,
+}
+
+impl Rate {
+    fn now(&self, now: Nanos) -> f64 {
+        self.per_second * (-((now - self.at).max(0) as f64) / MEMORY).exp()
+    }
+}
+
+impl Meter {
+    /// Counts units asked for, and tells whether the volume is new.
+    pub fn count(&mut self, now: Nanos, volume: Volume, units: f64) -> bool {
+        let fresh = !self.rates.contains_key(&volume);
+        let rate = self.rates.entry(volume).or_insert(Rate { per_second: 0.0, at: now });
+        // A sum that forgets starts low: what comes first counts as a stream over the memory.
+        rate.per_second = rate.now(now) + units.max(0.0) * (1e9 / MEMORY);
+        rate.at = now.max(rate.at);
+        fresh
+    }
+
+    /// Thousandths of units a second.
+    pub fn milli(&self, now: Nanos, volume: Volume) -> u64 {
+        self.rates.get(&volume).map_or(0, |r| (r.now(now) * 1e3) as u64)
+    }
+
+    /// The volumes asked for, with how much.
+    pub fn all(&self, now: Nanos) -> impl Iterator<Item = (Volume, u64)> + '_ {
+        self.rates.iter().map(move |(v, r)| (*v, (r.now(now) * 1e3) as u64))
+    }
+
+    /// Forgets volumes that nobody has asked for in a while, and names them.
+    pub fn forget(&mut self, now: Nanos) -> Vec<Volume> {
+        let idle = self.rates.iter().filter(|(_, r)| now - r.at > IDLE);
+        let idle: Vec<Volume> = idle.map(|(v, _)| *v).collect();
+        for volume in &idle {
+            self.rates.remove(volume);
+        }
+        idle
+    }
+
+    /// The volumes known.
+    pub fn volumes(&self) -> impl Iterator<Item = Volume> + '_ {
+        self.rates.keys().copied()
+    }
+}
