--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -258,6 +258,18 @@
         /// Units served for the volume through others since the last answer.
         foreign_units: f64,
     },
+    /// What this initiator may use of a volume's limit, from a moment on that may be past: where it is told, it
+    /// holds instead of an even part.
+    Limit {
+        /// The volume.
+        volume: VolId,
+        /// Units a second.
+        rate: f64,
+        /// Most units in store.
+        burst: f64,
+        /// From when.
+        at: Nanos,
+    },
     /// A timer is due.
     Timer(u64),
 }
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -163,6 +163,7 @@
                 self.live.entry(id).and_modify(|l| l.streaming = true);
             }
             Event::Ended { .. } => self.on_ended(&event, actions),
+            Event::Limit { volume, rate, burst, at } => self.tell_limit(volume, rate, burst, at),
             Event::Timer(TICK_COOKIE) => self.tick(actions),
             Event::Timer(_) => {}
         }
@@ -391,11 +392,10 @@
         let rates = self.set.plans.iter().map(|p| p.nominal / p.weight.max(0.01)).filter(|r| *r > 0.0);
         let level = rates.fold(f64::INFINITY, f64::min) * FAIR_BAND;
         self.volumes.entry(req.volume).or_insert_with(|| {
-            // Limits. Each initiator of the volume holds its even part, empty at first: a restarted one can
-            // not know what it drew. The parts never sum to more than the store of the rule. Costs an uneven
-            // volume part of its limit.
-            let limit = (plan.limit_rate > 0.0)
-                .then(|| Bucket::new(plan.limit_rate / parts, plan.limit_burst / parts, 0.0, now));
+            // Limits: what is told, or an even part; empty at first, as a restarted one forgets what it drew.
+            let told = self.told_limits.get(&req.volume).copied();
+            let (rate, burst) = told.unwrap_or((plan.limit_rate / parts, plan.limit_burst / parts));
+            let limit = (plan.limit_rate > 0.0).then(|| Bucket::new(rate, burst, 0.0, now));
             let rate = plan.reserve_rate / parts;
             let reserve = Bucket::new(rate, rate + most, rate.min(most), now);
             Volume { limit, reserve, beyond: Rate::new(now), share: level * plan.weight.max(0.01) / parts }
@@ -523,7 +523,7 @@
         // Classes of less worth leave part of the bucket to those of more. Harms only them, at a limit.
         let most = self.set.classes.iter().map(|c| c.points).fold(0.0, f64::max).max(1e-9);
         let held = limit.most * LIMIT_HOLD * (1.0 - self.set.classes[req.class].points / most);
-        limit.level_at(self.now) >= (req.units + held).min(limit.most)
+        limit.rate > 0.0 && limit.level_at(self.now) >= (req.units + held).min(limit.most)
     }
 
     /// Part of full worth that this request would earn at this node: its place in reserve, share or spare,
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -342,6 +342,8 @@
     pub(crate) queues: BTreeMap<CellId, Vec<ReqId>>,
     pub(crate) live: BTreeMap<ReqId, Live>,
     pub(crate) volumes: BTreeMap<VolId, Volume>,
+    /// Rate and burst of volumes whose limit is told, in place of an even part.
+    pub(crate) told_limits: BTreeMap<VolId, (f64, f64)>,
     pub(crate) lines: BTreeMap<KeyId, Line>,
     /// Learned nanoseconds for a unit of each class.
     pub(crate) unit_cost: Vec<f64>,
@@ -382,6 +384,7 @@
             queues: BTreeMap::new(),
             live: BTreeMap::new(),
             volumes: BTreeMap::new(),
+            told_limits: BTreeMap::new(),
             lines: BTreeMap::new(),
             unit_cost,
             extras: VecDeque::new(),
@@ -488,6 +491,7 @@
             (id, v.limit.as_ref().map(|l| bits(l.level_at(now))), bits(v.reserve.level_at(now))).hash(h);
             (bits(v.beyond.per_second), ago(v.beyond.at), bits(v.share)).hash(h);
         }
+        self.told_limits.iter().for_each(|(v, (rate, burst))| (v, bits(*rate), bits(*burst)).hash(h));
         for (key, line) in &self.lines {
             (key, &line.order, ago(line.rest_until).min(0)).hash(h);
         }
@@ -613,6 +617,8 @@
     pub(crate) fn trim(&mut self, volume_idle: Nanos, span: Nanos) {
         let now = self.now;
         self.volumes.retain(|_, v| now - v.beyond.at < volume_idle);
+        let known = &self.volumes;
+        self.told_limits.retain(|id, (rate, _)| *rate > 0.0 || known.contains_key(id));
         self.lines.retain(|_, l| !l.order.is_empty() || now < l.rest_until);
         while self.extras.front().is_some_and(|t| *t < now - span) {
             self.extras.pop_front();
@@ -667,6 +673,19 @@
         }
     }
 
+    /// Takes what this initiator may use of a volume's limit. What flowed in before stays, as far as it has room;
+    /// a rate of 0 with no room is forgotten with its volume.
+    pub(crate) fn tell_limit(&mut self, volume: VolId, rate: f64, burst: f64, at: Nanos) {
+        self.told_limits.insert(volume, (rate, burst));
+        if let Some(limit) = self.volumes.get_mut(&volume).and_then(|v| v.limit.as_mut()) {
+            // It may have been looked at since the moment that is told; what flowed in since goes again.
+            let early = (limit.at - at).max(0) as f64 / 1e9 * (limit.rate - rate).max(0.0);
+            limit.fill(at.max(limit.at));
+            (limit.rate, limit.most) = (rate, burst);
+            limit.level = (limit.level - early).clamp(limit.level.min(0.0), burst);
+        }
+    }
+
     /// A first send that was none: its units go back.
     pub(crate) fn give_back(&mut self, volume: VolId, units: f64) {
         if let Some(limit) = self.volumes.get_mut(&volume).and_then(|v| v.limit.as_mut()) {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,5 +7,6 @@
 //!   cuts, delays, loses and repeats.
 
 pub mod cli;
+pub mod process;
 pub mod schedule;
 pub mod simulate;
--- /dev/null
+++ b/crates/lab/src/process.rs
@@ -0,0 +1,564 @@
+//! Many processes of the built program: object fronts with a chunk server that the lab plays, a load on each front,
+//! and a proxy on every link between two fronts. All on loopback, with ports that the system chooses.
+//!
+//! The parts are tasks on one thread; [`Lab::new`] must be called inside a tokio `LocalSet`.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::task::{spawn_local, JoinHandle};
+
+use crate::schedule::{Fault, Schedule};
+
+const SETTINGS: &str = include_str!("settings.json");
+const KEY: &str = "a key of the lab's fronts, and of no others";
+/// How long a front may take to say where it listens.
+const READY: Duration = Duration::from_secs(20);
+/// Units of a second and in store, of the volume that is asked for.
+pub const RATE: f64 = 40.0;
+/// Most units in store.
+pub const BURST: f64 = 20.0;
+/// Units of one read.
+pub const UNITS: f64 = 2.05;
+/// Units of the largest request.
+pub const MOST_UNITS: f64 = 6.0;
+
+/// What goes wrong with the lab itself.
+#[derive(Debug, thiserror::Error)]
+pub enum LabError {
+    /// The system refused something.
+    #[error("{what}: {why}")]
+    System {
+        /// What was tried.
+        what: &'static str,
+        /// What it said.
+        why: std::io::Error,
+    },
+    /// A front did not say that it listens.
+    #[error("front {front} did not start; its log ends: {log}")]
+    NotReady {
+        /// Which.
+        front: usize,
+        /// The last it said.
+        log: String,
+    },
+}
+
+fn system(what: &'static str) -> impl FnOnce(std::io::Error) -> LabError {
+    move |why| LabError::System { what, why }
+}
+
+/// How the fronts are told of each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sharing {
+    /// Not at all: each takes an even part by this number, as before.
+    Even(u32),
+    /// By peers.
+    Peers,
+}
+
+/// What is done to every datagram on a link.
+#[derive(Clone, Copy, Debug, Default)]
+struct Weather {
+    lost: u8,
+    repeated: u8,
+    late: u64,
+}
+
+#[derive(Default)]
+struct Link {
+    cut: Cell<bool>,
+    /// Where the front at the far end hears, once it runs.
+    far: Cell<Option<SocketAddr>>,
+    passed: Cell<u64>,
+    bytes: Cell<u64>,
+}
+
+/// A front's process.
+struct Front {
+    child: Child,
+    clients: SocketAddr,
+    console: SocketAddr,
+    stopped: bool,
+    log: mpsc::Receiver<String>,
+}
+
+/// A read that reached the chunk server.
+#[derive(Clone, Copy, Debug)]
+pub struct Sent {
+    /// Since the lab began.
+    pub at: Duration,
+}
+
+/// A lab with its fronts.
+pub struct Lab {
+    program: PathBuf,
+    folder: PathBuf,
+    sharing: Sharing,
+    count: usize,
+    server: SocketAddr,
+    links: BTreeMap<(usize, usize), Rc<Link>>,
+    /// Where each front is told that another is: by the link's own socket.
+    doors: BTreeMap<(usize, usize), SocketAddr>,
+    weather: Rc<Cell<Weather>>,
+    fronts: Vec<Rc<RefCell<Option<Front>>>>,
+    twins: Vec<Child>,
+    rates: Vec<Rc<Cell<u32>>>,
+    sent: Rc<RefCell<Vec<Sent>>>,
+    asked: Rc<Cell<u64>>,
+    began: Instant,
+    tasks: Vec<JoinHandle<()>>,
+    lot: fastrand::Rng,
+}
+
+impl Lab {
+    /// Starts so many fronts of a program, and waits until each takes clients.
+    ///
+    /// # Errors
+    /// Where the system refuses, or a front does not start.
+    pub async fn new(program: &Path, count: usize, sharing: Sharing, seed: u64) -> Result<Lab, LabError> {
+        let began = Instant::now();
+        let sent: Rc<RefCell<Vec<Sent>>> = Rc::default();
+        let listener = TcpListener::bind("127.0.0.1:0").await.map_err(system("a chunk server's socket"))?;
+        let server = listener.local_addr().map_err(system("a chunk server's socket"))?;
+        let unique = format!("tulipbridge-lab-{}-{}", std::process::id(), server.port());
+        let folder = std::env::temp_dir().join(unique);
+        std::fs::create_dir_all(&folder).map_err(system("a folder"))?;
+        std::fs::write(folder.join("key"), KEY).map_err(system("a key file"))?;
+        let mut tasks = vec![spawn_local(serve(listener, Rc::clone(&sent), began))];
+        let weather: Rc<Cell<Weather>> = Rc::default();
+        let (mut links, mut doors) = (BTreeMap::new(), BTreeMap::new());
+        if sharing == Sharing::Peers {
+            for (from, to) in (0..count).flat_map(|f| (0..count).map(move |t| (f, t))).filter(|(f, t)| f != t)
+            {
+                let socket = UdpSocket::bind("127.0.0.1:0").await.map_err(system("a link's socket"))?;
+                doors.insert((from, to), socket.local_addr().map_err(system("a link's socket"))?);
+                let link: Rc<Link> = Rc::default();
+                links.insert((from, to), Rc::clone(&link));
+                tasks.push(spawn_local(proxy(socket, link, Rc::clone(&weather))));
+            }
+        }
+        let rates: Vec<Rc<Cell<u32>>> = (0..count).map(|_| Rc::default()).collect();
+        let asked: Rc<Cell<u64>> = Rc::default();
+        let fronts: Vec<Rc<RefCell<Option<Front>>>> = (0..count).map(|_| Rc::default()).collect();
+        let lot = fastrand::Rng::with_seed(seed);
+        let mut lab = Lab {
+            program: program.to_owned(),
+            folder,
+            sharing,
+            count,
+            server,
+            links,
+            doors,
+            weather,
+            fronts,
+            twins: Vec::new(),
+            rates,
+            sent,
+            asked,
+            began,
+            tasks,
+            lot,
+        };
+        for front in 0..count {
+            lab.start(front).await?;
+            let (rate, front) = (Rc::clone(&lab.rates[front]), Rc::clone(&lab.fronts[front]));
+            let lot = fastrand::Rng::with_seed(lab.lot.u64(..));
+            lab.tasks.push(spawn_local(load(rate, front, Rc::clone(&lab.asked), lot)));
+        }
+        Ok(lab)
+    }
+
+    fn config(&self, front: usize, twin: bool) -> String {
+        let hosts = if let Sharing::Even(hosts) = self.sharing { hosts } else { self.count as u32 };
+        let roster: Vec<String> = (0..self.count)
+            .map(|to| {
+                let at = self.doors.get(&(front, to)).map_or("127.0.0.1:1".to_owned(), ToString::to_string);
+                format!(r#"{{"name": "object-{to}", "address": "{at}"}}"#)
+            })
+            .collect();
+        let peers = match self.sharing {
+            Sharing::Even(_) => String::new(),
+            Sharing::Peers => format!(
+                r#""peers": {{"listen": "127.0.0.1:0", "key_file": "{}", "roster": [{}]}},"#,
+                self.folder.join("key").display(),
+                roster.join(", ")
+            ),
+        };
+        let server = self.server;
+        format!(
+            r#"{{"name": "object-{front}", "listen": "127.0.0.1:0", "console": "127.0.0.1:0", "seed": "{:x}",
+            "limits": {{"cores": 1.0, "memory_mb": 192, "sockets": 512}}, {peers}
+            "known": {{"generation": 1, "reset": true, "instances": [{{"instanceId": "s-0", "hostPort": "{server}",
+              "zone": "zone-a", "machineType": "m", "cell": 0, "lifecycle": "Ready", "weight": 1.0, "startedAtMs": 0}}]}},
+            "buckets": {{"b": {{"volume": "7", "plan": "limited", "read": "read", "write": "write", "hosts": {hosts}}}}},
+            "settings": {SETTINGS}}}"#,
+            (front as u64 + 1) * 7919 + u64::from(twin),
+        )
+    }
+
+    /// Starts a front's process, which remembers nothing, and waits until it takes clients.
+    ///
+    /// # Errors
+    /// Where it does not start.
+    pub async fn start(&mut self, front: usize) -> Result<(), LabError> {
+        let (mut child, log) = self.spawn(front, false)?;
+        let (mut clients, mut console, mut peers) = (None, None, None);
+        let mut last = String::new();
+        let until = Instant::now() + READY;
+        let peers_told = self.sharing == Sharing::Peers;
+        while clients.is_none() || console.is_none() || (peers_told && peers.is_none()) {
+            match log.try_recv() {
+                Ok(line) => {
+                    let address =
+                        |after: &str| line.rsplit_once(after).and_then(|(_, at)| at.trim().parse().ok());
+                    clients = clients.or_else(|| address("listening on "));
+                    console = console.or_else(|| address("console on "));
+                    peers = peers.or_else(|| address("peers at "));
+                    last = line;
+                }
+                Err(gone) => {
+                    if Instant::now() >= until || gone == mpsc::TryRecvError::Disconnected {
+                        let _ = child.kill();
+                        let _ = child.wait();
+                        return Err(LabError::NotReady { front, log: last });
+                    }
+                    tokio::time::sleep(Duration::from_millis(2)).await;
+                }
+            }
+        }
+        for ((_, to), link) in self.links.iter().filter(|((_, to), _)| *to == front) {
+            debug_assert_eq!(*to, front);
+            link.far.set(peers);
+        }
+        if let (Some(clients), Some(console)) = (clients, console) {
+            *self.fronts[front].borrow_mut() = Some(Front { child, clients, console, stopped: false, log });
+        }
+        Ok(())
+    }
+
+    fn spawn(&self, front: usize, twin: bool) -> Result<(Child, mpsc::Receiver<String>), LabError> {
+        let file = self.folder.join(format!("front-{front}{}.json", if twin { "-twin" } else { "" }));
+        std::fs::write(&file, self.config(front, twin)).map_err(system("a front's file"))?;
+        let own = self.folder.join(format!("front-{front}"));
+        std::fs::create_dir_all(&own).map_err(system("a front's folder"))?;
+        let mut command = Command::new(&self.program);
+        command.arg("object").arg(&file).current_dir(&own).env("TMPDIR", &own);
+        let mut child = command.stderr(Stdio::piped()).spawn().map_err(system("starting the program"))?;
+        let (say, log) = mpsc::channel();
+        let errors = child.stderr.take();
+        std::thread::spawn(move || {
+            for line in errors.into_iter().flat_map(|e| BufReader::new(e).lines().map_while(Result::ok)) {
+                // A lab that has gone reads no more; the front must be able to go on writing.
+                let _ = say.send(line);
+            }
+        });
+        Ok((child, log))
+    }
+
+    /// So many reads a second come to a front from now on.
+    pub fn load(&self, front: usize, rate: u32) {
+        self.rates[front].set(rate);
+    }
+
+    /// Since the lab began.
+    pub fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    /// Reads that were asked for so far, over all fronts.
+    pub fn asked(&self) -> u64 {
+        self.asked.get()
+    }
+
+    /// All that reached the chunk server.
+    pub fn sent(&self) -> Vec<Sent> {
+        self.sent.borrow().clone()
+    }
+
+    /// Datagrams that went over links so far, and their bytes.
+    pub fn traffic(&self) -> (u64, u64) {
+        self.links.values().fold((0, 0), |(n, b), l| (n + l.passed.get(), b + l.bytes.get()))
+    }
+
+    /// What a front has said in its log since this was last asked.
+    pub fn log(&self, front: usize) -> Vec<String> {
+        self.fronts[front].borrow().as_ref().map_or_else(Vec::new, |f| f.log.try_iter().collect())
+    }
+
+    /// A front's console.
+    pub fn console(&self, front: usize) -> Option<SocketAddr> {
+        self.fronts[front].borrow().as_ref().map(|f| f.console)
+    }
+
+    /// What a front says of its peers, as JSON.
+    pub async fn peers(&self, front: usize) -> Option<String> {
+        let mut stream = TcpStream::connect(self.console(front)?).await.ok()?;
+        stream.write_all(b"GET /status/peers HTTP/1.1\r\nHost: lab\r\n\r\n").await.ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.ok()?;
+        answer.split_once("\r\n\r\n").map(|(_, body)| body.to_owned())
+    }
+
+    /// Waits until a front says this of its peers; false where it does not within a time that is long for any
+    /// machine.
+    pub async fn until_peers(&self, front: usize, says: impl Fn(&str) -> bool) -> bool {
+        let until = Instant::now() + READY;
+        while Instant::now() < until {
+            if self.peers(front).await.is_some_and(|told| says(&told)) {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        false
+    }
+
+    /// Waits until every front that runs hears all others, and holds its bank.
+    pub async fn until_joined(&self) -> bool {
+        for front in 0..self.count {
+            let whole = |told: &str| {
+                told.matches("\"belief\":\"alive\"").count() == self.count - 1
+                    && told.contains(&format!("\"banks\":[\"object-{front}\"]"))
+            };
+            if self.fronts[front].borrow().is_some() && !self.until_peers(front, whole).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Does what a fault says, and waits until it is done: also until a stopped front has gone on, or a killed one
+    /// is back, where the fault says when.
+    ///
+    /// # Errors
+    /// Where a front does not start again.
+    pub async fn strike(&mut self, fault: &Fault) -> Result<(), LabError> {
+        match fault {
+            Fault::Cut { from, to } => {
+                self.links.get(&(*from, *to)).into_iter().for_each(|l| l.cut.set(true))
+            }
+            Fault::Split { side } => {
+                for ((from, to), link) in &self.links {
+                    link.cut.set(side.contains(from) != side.contains(to));
+                }
+            }
+            Fault::Heal => self.links.values().for_each(|l| l.cut.set(false)),
+            Fault::Weather { lost, repeated, late } => {
+                self.weather.set(Weather { lost: *lost, repeated: *repeated, late: *late });
+            }
+            Fault::Stop { front, millis } => {
+                self.signal(*front, Signal::SIGSTOP);
+                tokio::time::sleep(Duration::from_millis(*millis)).await;
+                self.signal(*front, Signal::SIGCONT);
+            }
+            Fault::Kill { front, back } => {
+                self.end(*front, Signal::SIGKILL).await;
+                if let Some(back) = back {
+                    tokio::time::sleep(Duration::from_millis(*back)).await;
+                    self.start(*front).await?;
+                }
+            }
+            Fault::Leave { front, back } => {
+                self.end(*front, Signal::SIGTERM).await;
+                tokio::time::sleep(Duration::from_millis(*back)).await;
+                self.start(*front).await?;
+            }
+            Fault::Twin { front, millis } => {
+                let (child, log) = self.spawn(*front, true)?;
+                self.twins.push(child);
+                tokio::time::sleep(Duration::from_millis(*millis)).await;
+                drop(log);
+                if let Some(mut twin) = self.twins.pop() {
+                    let _ = twin.kill();
+                    let _ = twin.wait();
+                }
+            }
+            Fault::Load { front, rate } => self.load(*front, *rate),
+            // Rosters are files of the fronts'; the simulation plays their changes.
+            Fault::Roster { .. } => {}
+        }
+        Ok(())
+    }
+
+    /// Plays a schedule to its end: each fault at its moment, or once the one before is done.
+    ///
+    /// # Errors
+    /// Where a front does not start again.
+    pub async fn play(&mut self, schedule: &Schedule) -> Result<(), LabError> {
+        let began = Instant::now();
+        let at = |millis: u64| began + Duration::from_millis(millis);
+        for step in &schedule.steps {
+            tokio::time::sleep_until(at(step.at).into()).await;
+            self.strike(&step.fault).await?;
+        }
+        tokio::time::sleep_until(at(schedule.millis).into()).await;
+        Ok(())
+    }
+
+    /// Sends a front a signal.
+    pub fn signal(&self, front: usize, signal: Signal) {
+        if let Some(front) = self.fronts[front].borrow_mut().as_mut() {
+            front.stopped = signal == Signal::SIGSTOP;
+            let _ = kill(Pid::from_raw(front.child.id() as i32), signal);
+        }
+    }
+
+    /// Ends a front with a signal and waits until it has ended.
+    pub async fn end(&self, front: usize, signal: Signal) -> Option<i32> {
+        self.signal(front, signal);
+        loop {
+            let ended = match self.fronts[front].borrow_mut().as_mut() {
+                Some(front) => front.child.try_wait().ok().flatten(),
+                None => return None,
+            };
+            if let Some(status) = ended {
+                *self.fronts[front].borrow_mut() = None;
+                return status.code();
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+}
+
+impl Drop for Lab {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        let fronts = self.fronts.iter().filter_map(|f| f.borrow_mut().take().map(|f| f.child));
+        for mut child in fronts.chain(self.twins.drain(..)) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// The chunk server: answers every read at once, and notes when it came.
+async fn serve(listener: TcpListener, sent: Rc<RefCell<Vec<Sent>>>, began: Instant) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let sent = Rc::clone(&sent);
+        spawn_local(async move {
+            let service = service_fn(move |_: Request<hyper::body::Incoming>| {
+                sent.borrow_mut().push(Sent { at: began.elapsed() });
+                async {
+                    Ok::<_, std::convert::Infallible>(Response::new(Full::new(Bytes::from_static(b"object"))))
+                }
+            });
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+/// A link from one front to another, one way; what is answered to its socket goes back the other way, as it would
+/// between two machines.
+async fn proxy(socket: UdpSocket, link: Rc<Link>, weather: Rc<Cell<Weather>>) {
+    let socket = Rc::new(socket);
+    let near: Rc<Cell<Option<SocketAddr>>> = Rc::default();
+    let mut bytes = vec![0; 65_536];
+    loop {
+        let Ok((length, source)) = socket.recv_from(&mut bytes).await else { continue };
+        let to = match link.far.get() {
+            Some(far) if source == far => near.get(),
+            far => {
+                near.set(Some(source));
+                far
+            }
+        };
+        let (Some(to), false) = (to, link.cut.get()) else { continue };
+        let now = weather.get();
+        let copies = 1 + usize::from(fastrand::u8(0..100) < now.repeated);
+        for _ in 0..copies {
+            if fastrand::u8(0..100) < now.lost {
+                continue;
+            }
+            link.passed.set(link.passed.get() + 1);
+            link.bytes.set(link.bytes.get() + length as u64);
+            if now.late == 0 {
+                let _ = socket.try_send_to(&bytes[..length], to);
+                continue;
+            }
+            let (socket, link, told) = (Rc::clone(&socket), Rc::clone(&link), bytes[..length].to_vec());
+            spawn_local(async move {
+                tokio::time::sleep(Duration::from_millis(fastrand::u64(0..=now.late))).await;
+                if !link.cut.get() {
+                    let _ = socket.try_send_to(&told, to);
+                }
+            });
+        }
+    }
+}
+
+/// Reads, at a rate, whatever becomes of them.
+async fn load(
+    rate: Rc<Cell<u32>>,
+    front: Rc<RefCell<Option<Front>>>,
+    asked: Rc<Cell<u64>>,
+    mut lot: fastrand::Rng,
+) {
+    loop {
+        let per_second = rate.get();
+        if per_second == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            continue;
+        }
+        let wait = -(1.0 - lot.f64()).ln() / f64::from(per_second);
+        tokio::time::sleep(Duration::from_secs_f64(wait)).await;
+        let at = front.borrow().as_ref().filter(|f| !f.stopped).map(|f| f.clients);
+        let Some(at) = at else { continue };
+        asked.set(asked.get() + 1);
+        spawn_local(async move {
+            let read = async {
+                let mut stream = TcpStream::connect(at).await.ok()?;
+                let asked = b"GET /b/object?versionId=0.v HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n";
+                stream.write_all(asked).await.ok()?;
+                let mut answer = Vec::new();
+                stream.read_to_end(&mut answer).await.ok()
+            };
+            let _ = tokio::time::timeout(Duration::from_secs(3), read).await;
+        });
+    }
+}
+
+/// Units sent within a span, as a part of what the limit allows in it without any burst.
+pub fn served(sent: &[Sent], from: Duration, to: Duration) -> f64 {
+    let count = sent.iter().filter(|s| s.at >= from && s.at < to).count();
+    count as f64 * UNITS / (RATE * (to - from).as_secs_f64())
+}
+
+/// The most that was sent within any window beyond the bound for so many fronts, in units: at most 0 where the bound
+/// holds. `slack` is how long a read may take from being sent to being noted.
+pub fn beyond(sent: &[Sent], fronts: usize, slack: Duration) -> f64 {
+    let mut most = f64::NEG_INFINITY;
+    for (first, begin) in sent.iter().enumerate() {
+        for (last, end) in sent.iter().enumerate().skip(first) {
+            let window = end.at.saturating_sub(begin.at);
+            if window > Duration::from_secs(10) {
+                break;
+            }
+            let units = (last - first + 1) as f64 * UNITS;
+            let span = (window + slack).as_secs_f64();
+            let bound = RATE * span * 1.001 + BURST + fronts as f64 * MOST_UNITS;
+            most = most.max(units - bound);
+        }
+    }
+    most
+}
--- a/crates/lab/src/simulate.rs
+++ b/crates/lab/src/simulate.rs
@@ -199,7 +199,8 @@
                     process.waiting.push((message.via, message.from, message.boot, message.beat));
                     return;
                 }
-                let event = Event::Heard { from: message.from, boot: message.boot, beat: message.beat };
+                let event =
+                    Event::Heard { from: message.from, boot: message.boot, beat: Box::new(message.beat) };
                 self.feed(message.to, message.via, event);
             }
             Due::Step(number) => {
@@ -219,7 +220,7 @@
                 self.feed(process, process, Event::Look);
                 self.judge();
                 for (via, from, boot, beat) in waiting {
-                    self.feed(process, via, Event::Heard { from, boot, beat });
+                    self.feed(process, via, Event::Heard { from, boot, beat: Box::new(beat) });
                 }
             }
             Due::End(process) => {
--- a/crates/quota/src/machine.rs
+++ b/crates/quota/src/machine.rs
@@ -22,7 +22,7 @@
         /// The sender's boot.
         boot: Boot,
         /// What it says.
-        beat: Beat,
+        beat: Box<Beat>,
     },
     /// Units of a volume are asked for.
     Asked {
@@ -204,7 +204,7 @@
             }
             Event::Heard { from, boot, beat } => {
                 self.look(now, effects);
-                let news = self.heard(now, from, boot, beat);
+                let news = self.heard(now, from, boot, *beat);
                 effects.push(Effect::Worth(news));
                 // Two that are strangers to each other must not answer each other's answers without end.
                 let replied = self.peers.get(usize::from(from)).map_or(now, |p| p.replied_at);
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -61,6 +61,15 @@
         #[command(flatten)]
         asked: Asked,
     },
+    /// Shows what a front believes of its peers, by what evidence.
+    Peers {
+        /// The front's console.
+        #[arg(long)]
+        console: SocketAddr,
+        /// As a table or as JSON.
+        #[arg(short, long, default_value = "table")]
+        output: Output,
+    },
     /// Starts a drained front again.
     Resume {
         /// Its name.
@@ -77,6 +86,12 @@
     },
 }
 
+#[derive(Clone, Copy, clap::ValueEnum)]
+enum Output {
+    Table,
+    Json,
+}
+
 #[derive(Args)]
 #[group(required = true, multiple = false)]
 struct Declared {
@@ -106,6 +121,7 @@
             (None, None) => Err("where the fronts are declared is missing".to_owned()),
         },
         Some(Command::Status(asked)) => on_one_thread(asked.print()),
+        Some(Command::Peers { console, output }) => on_one_thread(peers(console, output)),
         Some(Command::Drain { name, asked }) => on_one_thread(asked.tell(&name, "drain", "drained")),
         Some(Command::Resume { name, asked }) => on_one_thread(asked.tell(&name, "resume", "ready")),
         Some(Command::Restart { names, asked }) => on_one_thread(asked.restart(names)),
@@ -119,6 +135,55 @@
     }
 }
 
+/// Shows a front's peers.
+async fn peers(console: SocketAddr, output: Output) -> Res<()> {
+    let asked = call(console, Method::GET, "/status/peers", String::new(), ANSWER, ANSWER).await;
+    let answer = asked.map_err(|why| format!("the console at {console}: {why}"))?;
+    let status = answer.status;
+    let mut body = answer.whole(ANSWER).await?;
+    if status != StatusCode::OK {
+        return Err(format!("the console at {console}: {}", String::from_utf8_lossy(&body).trim()));
+    }
+    if let Output::Json = output {
+        println!("{}", String::from_utf8_lossy(&body));
+        return Ok(());
+    }
+    let told = simd_json::to_owned_value(&mut body).map_err(|e| format!("the console's answer: {e}"))?;
+    println!("{:<20} {:<8} {:>10} {:>7} {:>9}  EVIDENCE", "PEER", "BELIEF", "SILENT", "LENT", "BORROWED");
+    for peer in list(&told, "peers")? {
+        let name = text(peer.get("name"), "name")?;
+        let belief = text(peer.get("belief"), "belief")?;
+        let silent = peer.get("silent_ms").and_then(Value::as_i64);
+        let silent = silent.map_or("-".to_owned(), |ms| format!("{ms} ms"));
+        let part = |key: &str| peer.get(key).and_then(Value::cast_f64).unwrap_or(0.0);
+        let by: Vec<&str> = list(peer, "heard_by")?.iter().filter_map(Value::as_str).collect();
+        let mut evidence =
+            vec![if by.is_empty() { String::new() } else { format!("heard by {}", by.join(", ")) }];
+        if peer.get("same_roster").and_then(Value::as_bool) == Some(false) && silent != "-" {
+            evidence.push("another roster".to_owned());
+        }
+        if let Some(boot) = peer.get("second_process").and_then(Value::as_str) {
+            evidence.push(format!("a second process has its name: boot {boot}"));
+        }
+        evidence.retain(|e| !e.is_empty());
+        let (lent, borrowed) = (part("lent"), part("borrowed"));
+        println!("{name:<20} {belief:<8} {silent:>10} {lent:>7.3} {borrowed:>9.3}  {}", evidence.join("; "));
+    }
+    let is = |key: &str| told.get(key).and_then(Value::as_bool) == Some(true);
+    let banks: Vec<&str> = list(&told, "banks")?.iter().filter_map(Value::as_str).collect();
+    println!("this front: {}, holds the banks of: {}", text(told.get("name"), "name")?, banks.join(", "));
+    if is("just_started") {
+        println!("it has just started, and uses nothing of its own yet");
+    }
+    if is("standing_back") {
+        println!("another process has its name, and it uses no shared limit");
+    }
+    if !is("settled") {
+        println!("not every front in the roster is known to have taken it: floors only");
+    }
+    Ok(())
+}
+
 impl Asked {
     async fn call(&self, method: Method, path: &str) -> Res<Vec<u8>> {
         let answer = call(self.agent, method, path, String::new(), ANSWER, ANSWER).await;
--- a/src/config.rs
+++ b/src/config.rs
@@ -7,6 +7,7 @@
 use simd_json::OwnedValue as Value;
 use tulipbridge_core::Settings;
 
+use crate::peers::Peers;
 use crate::settings::{names, num, settings, text, Res};
 
 /// The largest configuration file that is read; a larger one is turned down.
@@ -22,6 +23,8 @@
     pub console: Option<SocketAddr>,
     /// Where discovery is; without it the list as last held is all there is.
     pub discovery: Option<SocketAddr>,
+    /// The front's peers, where the operators name any.
+    pub peers: Option<Peers>,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -84,6 +87,7 @@
     /// # Errors
     /// A plain sentence on what is missing or wrong.
     pub fn read(json: &mut [u8], variable: impl Fn(&str) -> Option<String>) -> Res<Config> {
+        let told = json.to_vec();
         let value = simd_json::to_owned_value(json).map_err(|e| format!("not JSON: {e}"))?;
         let address = |name: &str, key: &str| {
             let told = match variable(name) {
@@ -110,8 +114,11 @@
         };
         let name = variable("BALANCER_NAME")
             .or_else(|| value.get("name").and_then(|n| n.as_str()).map(str::to_owned));
+        let name = name.unwrap_or_else(|| "front".to_owned());
+        let peers = value.get("peers").map(|peers| Peers::read(peers, &name));
         Ok(Config {
-            name: name.unwrap_or_else(|| "front".to_owned()),
+            peers: peers.transpose().map_err(|why| at_line(&told, why))?,
+            name,
             listen: address("BALANCER_LISTEN", "listen")?,
             console: match (variable("BALANCER_CONSOLE"), value.get("console")) {
                 (None, None) => None,
@@ -145,6 +152,23 @@
     }
 }
 
+/// What is wrong, with the line that its path leads to: the path stands first, in quotes.
+fn at_line(json: &[u8], why: String) -> String {
+    let text = String::from_utf8_lossy(json);
+    let path = why.split('\'').nth(1).unwrap_or_default();
+    let mut at = 0;
+    for part in path.split('.') {
+        let (key, entry) = part.trim_end_matches(']').split_once('[').unwrap_or((part, ""));
+        let Some(found) = text[at..].find(&format!("\"{key}\"")) else { break };
+        at += found;
+        // Entries of a list are objects, each of which opens with a brace.
+        for _ in 0..entry.parse::<usize>().map_or(0, |n| n + 1) {
+            at += text[at..].find('{').map_or(0, |brace| brace + 1);
+        }
+    }
+    format!("line {}: {why}", text[..at].matches('\n').count() + 1)
+}
+
 /// The file that `BALANCER_CONFIG` names, with its name; one larger than any configuration is turned down unread.
 fn file() -> Res<(String, Vec<u8>)> {
     let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set")?;
--- a/src/console.rs
+++ b/src/console.rs
@@ -2,6 +2,7 @@
 //!
 //! - `GET /status`: 200 while the front takes clients, 503 before and once it leaves.
 //! - `GET /status/metrics`: the figures, in the Prometheus text format.
+//! - `GET /status/peers`: what the front believes of its peers, as JSON, where it has any.
 //! - `PUT /maintenance/enter/ID`, `PUT /maintenance/exit/ID`: holds chunk server ID out by hand, or lets it in.
 
 use std::cell::{Cell, RefCell};
@@ -19,6 +20,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use simd_json::prelude::*;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -27,6 +29,7 @@
 use crate::figures::{Figures, Reading};
 use crate::log::log;
 use crate::maintenance::Maintenance;
+use crate::peers::Fleet;
 use crate::upstream::Upstream;
 
 /// A whole call, from connecting to the last byte of its answer, within this, or the connection is closed.
@@ -48,6 +51,8 @@
     pub exchange: Rc<Exchange<Upstream>>,
     /// Chunk servers out by hand.
     pub maintenance: Rc<Maintenance>,
+    /// The front's peers, where it has any.
+    pub fleet: Option<Rc<Fleet>>,
     held: RefCell<VecDeque<(u64, Rc<Notify>)>>,
     next: Cell<u64>,
 }
@@ -60,9 +65,10 @@
         figures: Rc<Figures>,
         exchange: Rc<Exchange<Upstream>>,
         maintenance: Rc<Maintenance>,
+        fleet: Option<Rc<Fleet>>,
     ) -> Rc<Console> {
         let (held, next) = (RefCell::default(), Cell::new(0));
-        Rc::new(Console { taking, current, figures, exchange, maintenance, held, next })
+        Rc::new(Console { taking, current, figures, exchange, maintenance, fleet, held, next })
     }
 
     /// Serves for as long as the program runs.
@@ -128,6 +134,15 @@
                 );
                 reply
             }
+            (&Method::GET, None) if path == "/status/peers" => match &self.fleet {
+                Some(fleet) => {
+                    let mut reply = plain(StatusCode::OK, fleet.status().encode().into());
+                    let json = HeaderValue::from_static("application/json");
+                    reply.headers_mut().insert(CONTENT_TYPE, json);
+                    reply
+                }
+                None => plain(StatusCode::NOT_FOUND, "this front has no peers\n".into()),
+            },
             (&Method::PUT, Some(rest)) => self.maintenance_call(rest),
             (_, Some(_)) => plain(StatusCode::METHOD_NOT_ALLOWED, "maintenance is called with PUT\n".into()),
             (_, None) if path == "/status" || path == "/status/metrics" => {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -104,6 +104,12 @@
     stopped: watch::Sender<Option<u32>>,
 }
 
+/// Who knows what this front may use of limits that others share.
+pub trait Rights {
+    /// What the module must be told before it takes an input: what was used so far may have ended.
+    fn before(&self, input: &Input, settings: &Settings) -> Vec<Input>;
+}
+
 struct Core<T: Transport> {
     desk: Desk<Scheduler>,
     /// What the desk's requests carry.
@@ -116,6 +122,7 @@
     transport: T,
     clock: Clock,
     subscribe: Notify,
+    rights: RefCell<Option<Rc<dyn Rights>>>,
 }
 
 impl<T: Transport> Exchange<T> {
@@ -127,7 +134,13 @@
         let clock = Clock::start();
         let desk = Desk::new(Scheduler::new(settings, seed, clock.now())?);
         let core = Core { desk, live: HashMap::new() };
-        Ok(Rc::new(Exchange { core: RefCell::new(core), transport, clock, subscribe: Notify::new() }))
+        Ok(Rc::new(Exchange {
+            core: RefCell::new(core),
+            transport,
+            clock,
+            subscribe: Notify::new(),
+            rights: RefCell::default(),
+        }))
     }
 
     /// What carries the attempts.
@@ -150,6 +163,21 @@
         self.core.borrow().desk.decisions().settings().clone()
     }
 
+    /// What `look` finds in the settings in force.
+    pub fn settings_of<R>(&self, look: impl FnOnce(&Settings) -> R) -> R {
+        look(self.core.borrow().desk.decisions().settings())
+    }
+
+    /// Has limits shared with other fronts from now on.
+    pub fn share(&self, rights: Rc<dyn Rights>) {
+        *self.rights.borrow_mut() = Some(rights);
+    }
+
+    /// What this front may use of a limit.
+    pub fn limit(self: &Rc<Self>, limit: Input) {
+        self.take(limit, None);
+    }
+
     /// New settings, for requests from now on; see [`Scheduler::retune`].
     ///
     /// # Errors
@@ -195,8 +223,17 @@
         answer.try_recv().unwrap_or(Final::Failed)
     }
 
-    /// Takes what has happened, with the answer that an attempt brought, if any.
-    fn feed(self: &Rc<Self>, input: Input, mut brought: Option<T::Answer>) {
+    /// Takes what has happened, with the answer that an attempt brought, if any. What may be used of shared limits
+    /// is looked at first: this process may have stood still.
+    fn feed(self: &Rc<Self>, input: Input, brought: Option<T::Answer>) {
+        let rights = self.rights.borrow().clone();
+        for limit in rights.map_or_else(Vec::new, |r| self.settings_of(|set| r.before(&input, set))) {
+            self.take(limit, None);
+        }
+        self.take(input, brought);
+    }
+
+    fn take(self: &Rc<Self>, input: Input, mut brought: Option<T::Answer>) {
         let mut effects = Vec::new();
         if trace::on() {
             trace::input(&input, |node| self.transport.name(node));
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -100,6 +100,11 @@
         figures
     }
 
+    /// Further figures, of a part that not every front has.
+    pub fn add(&self, collector: impl prometheus::core::Collector + 'static) {
+        self.registry.register(Box::new(collector)).expect("each name once");
+    }
+
     /// The figures of a class, at 0 where it is new: a scrape shows every class from the start.
     pub fn class(&self, name: &str) -> ClassFigures {
         let counter = |state: &str| self.transactions.with_label_values(&[name, state]);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 mod log;
 pub mod maintenance;
 pub mod object;
+pub mod peers;
 pub mod retune;
 pub mod server;
 pub mod settings;
--- /dev/null
+++ b/src/peers.rs
@@ -0,0 +1,450 @@
+//! This front among its peers: the sockets and clocks round [`Quota`]. Beats go out and come in as datagrams; what
+//! may be used of each limit is told to the module, and looked at again before each decision, so that a front that
+//! stood still uses nothing that has ended meanwhile.
+//!
+//! Nothing here runs unless the operators' file has `peers`.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use nix::time::{clock_gettime, ClockId};
+use prometheus::{IntCounterVec, IntGauge, Opts};
+use simd_json::prelude::*;
+use simd_json::{json, OwnedValue as Value};
+use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
+use tulipbridge_core::desk::Input;
+use tulipbridge_core::{Settings, VolId};
+use tulipbridge_peers::{Belief, News, Place, Seal, SealError, MOST_MESSAGE};
+use tulipbridge_quota::{Beat, Effect, Event, Part, Quota, Terms, WHOLE};
+
+use crate::exchange::{Exchange, Rights};
+use crate::figures::Figures;
+use crate::log::log;
+use crate::settings::{list, num, text, Res};
+use crate::upstream::Upstream;
+
+/// What the operators' file says of the front's peers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peers {
+    /// Where this front hears its peers.
+    pub listen: SocketAddr,
+    /// The file of the key that all share.
+    pub key_file: PathBuf,
+    /// Names by their order, each with where this front reaches it.
+    pub roster: Vec<(String, SocketAddr)>,
+    /// What the machine is told.
+    pub terms: Terms,
+}
+
+impl Peers {
+    /// Reads `peers` of a front's file, for the front of this name.
+    ///
+    /// # Errors
+    /// A plain sentence that names the path of what is wrong.
+    pub fn read(value: &Value, name: &str) -> Res<Peers> {
+        let object = value.as_object().ok_or("'peers' must be an object")?;
+        let known = ["listen", "key_file", "roster", "revision", "life_ms", "beat_ms", "floor"];
+        if let Some(other) = object.keys().find(|k| !known.contains(&k.as_str())) {
+            return Err(format!("'peers.{other}' is not known"));
+        }
+        let address = |value: Option<&Value>, path: &str| {
+            let told = text(value, path)?;
+            told.parse::<SocketAddr>().map_err(|_| format!("'{path}' {told} is no address"))
+        };
+        let mut roster = Vec::new();
+        for (i, entry) in
+            list(value, "roster").map_err(|_| "'peers.roster' must be an array")?.iter().enumerate()
+        {
+            let path = |key: &str| format!("peers.roster[{i}].{key}");
+            let name = text(entry.get("name"), &path("name"))?.to_owned();
+            let at = address(entry.get("address"), &path("address"))?;
+            if roster.iter().any(|(n, _)| *n == name) {
+                return Err(format!("'{}' {name} is there twice", path("name")));
+            }
+            if roster.iter().any(|(_, a)| *a == at) {
+                return Err(format!("'{}' {at} is there twice", path("address")));
+            }
+            roster.push((name, at));
+        }
+        // Files may list the names in any order; places follow the names.
+        roster.sort();
+        let me = roster.iter().position(|(n, _)| n == name);
+        let me = me.ok_or_else(|| format!("'peers.roster' does not name this front, {name}"))?;
+        let fronts = Place::try_from(roster.len()).ok().filter(|n| *n <= 1_000);
+        let fronts = fronts.ok_or("'peers.roster' names more than 1000 fronts")?;
+        let or = |key: &str, usual: f64| match num(value, key) {
+            Ok(0.0) if value.get(key).is_none() => Ok(usual),
+            Ok(told) if told >= 0.0 => Ok(told),
+            _ => Err(format!("'peers.{key}' must be a number of 0 or more")),
+        };
+        let mut terms = Terms::new(me as Place, fronts, 0);
+        terms.revision = or("revision", 1.0)? as u32;
+        terms.life = (or("life_ms", terms.life as f64 / 1e6)? * 1e6) as i64;
+        terms.beat = (or("beat_ms", terms.beat as f64 / 1e6)? * 1e6) as i64;
+        terms.floor = (or("floor", f64::from(terms.floor) / f64::from(WHOLE))? * f64::from(WHOLE)) as Part;
+        if terms.revision == 0 {
+            return Err("'peers.revision' counts from 1".to_owned());
+        }
+        let names: Vec<&str> = roster.iter().map(|(n, _)| n.as_str()).collect();
+        let whole = format!("{}|{}|{}|{:?}", terms.revision, terms.life, terms.floor, names);
+        terms.roster = Seal::digest(&whole);
+        terms.check().map_err(|why| format!("'peers': {why}"))?;
+        Ok(Peers {
+            listen: address(value.get("listen"), "peers.listen")?,
+            key_file: PathBuf::from(text(value.get("key_file"), "peers.key_file")?),
+            roster,
+            terms,
+        })
+    }
+}
+
+/// Counts for operators.
+struct Counts {
+    messages: IntCounterVec,
+    alive: IntGauge,
+    banks: IntGauge,
+    standing_back: IntGauge,
+}
+
+/// This front among its peers.
+pub struct Fleet {
+    quota: RefCell<Quota>,
+    seal: Seal,
+    socket: UdpSocket,
+    told: RefCell<Peers>,
+    /// The plan that each volume last came with.
+    plans: RefCell<HashMap<VolId, usize>>,
+    exchange: Rc<Exchange<Upstream>>,
+    counts: Counts,
+    /// What each front was last believed to be, to say a change once.
+    said: RefCell<Vec<Belief>>,
+    stood_back: Cell<bool>,
+}
+
+/// This moment by a clock that runs on while the process, or the machine, stands still, and that no one sets.
+fn now() -> i64 {
+    clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(0, |t| t.tv_sec() * 1_000_000_000 + t.tv_nsec())
+}
+
+/// The key in a file.
+fn key(file: &Path) -> Res<Seal> {
+    let bytes =
+        std::fs::read(file).map_err(|e| format!("'peers.key_file': cannot read {}: {e}", file.display()))?;
+    Seal::new(&bytes).map_err(|why| format!("'peers.key_file': {}: {why}", file.display()))
+}
+
+impl Fleet {
+    /// Joins the peers, and has the module told from now on what it may use.
+    ///
+    /// # Errors
+    /// A plain sentence, where the socket or the key cannot be had.
+    pub fn join(told: Peers, exchange: &Rc<Exchange<Upstream>>, figures: &Figures) -> Res<Rc<Fleet>> {
+        let seal = key(&told.key_file)?;
+        let wrong = |e: std::io::Error| format!("'peers.listen': cannot listen on {}: {e}", told.listen);
+        let socket = std::net::UdpSocket::bind(told.listen).map_err(wrong)?;
+        socket.set_nonblocking(true).map_err(wrong)?;
+        let socket = UdpSocket::from_std(socket).map_err(wrong)?;
+        log!("peers at {}", socket.local_addr().map_err(wrong)?);
+        // Not from the seed in the file: a front that starts again must be another boot.
+        let boot = fastrand::Rng::new().u64(1..u64::MAX);
+        let quota = Quota::new(told.terms.clone(), boot, now()).map_err(|why| format!("'peers': {why}"))?;
+        let gauge = |name: &str, help: &str| IntGauge::new(name, help).expect("the names are valid");
+        let counts = Counts {
+            messages: IntCounterVec::new(
+                Opts::new("app_peer_messages", "Messages of peers by what they were worth"),
+                &["worth"],
+            )
+            .expect("the names are valid"),
+            alive: gauge("app_peers_alive", "Peers that are heard"),
+            banks: gauge("app_peer_banks", "Banks of the fleet's limits that this front holds"),
+            standing_back: gauge("app_peer_standing_back", "1 while another process has this front's name"),
+        };
+        figures.add(counts.messages.clone());
+        for gauge in [&counts.alive, &counts.banks, &counts.standing_back] {
+            figures.add(gauge.clone());
+        }
+        let fleet = Rc::new(Fleet {
+            said: RefCell::new(vec![Belief::Unheard; told.roster.len()]),
+            quota: RefCell::new(quota),
+            seal,
+            socket,
+            told: RefCell::new(told),
+            plans: RefCell::default(),
+            exchange: Rc::clone(exchange),
+            counts,
+            stood_back: Cell::new(false),
+        });
+        exchange.share(Rc::clone(&fleet) as Rc<dyn Rights>);
+        spawn_local(Rc::clone(&fleet).hear());
+        spawn_local(Rc::clone(&fleet).beat());
+        Ok(fleet)
+    }
+
+    /// Whether what a new file says of the peers can be taken.
+    ///
+    /// # Errors
+    /// Where it says what only a restart can change.
+    pub fn check(&self, told: Option<&Peers>) -> Res<()> {
+        let told = told.ok_or("'peers' cannot be left out while the front runs; restart it")?;
+        let held = self.told.borrow();
+        if held.listen != told.listen || held.key_file != told.key_file {
+            return Err("'peers.listen' and 'peers.key_file' change with a restart only".to_owned());
+        }
+        Ok(())
+    }
+
+    /// Takes what a new file says of the peers, which [`Fleet::check`] has found right.
+    pub fn retune(&self, told: Peers) {
+        let terms = told.terms.clone();
+        *self.said.borrow_mut() = vec![Belief::Unheard; told.roster.len()];
+        *self.told.borrow_mut() = told;
+        self.take(Event::Terms(terms), None);
+    }
+
+    /// Says that this front ends.
+    pub fn leave(&self) {
+        self.take(Event::Leave, None);
+        self.take(Event::Beat, None);
+    }
+
+    async fn beat(self: Rc<Self>) {
+        loop {
+            let beat = self.quota.borrow().terms().beat as u64;
+            // Not all at one moment, over and over.
+            let wait = beat - beat / 20 + fastrand::u64(0..=beat / 10);
+            tokio::time::sleep(Duration::from_nanos(wait)).await;
+            self.take(Event::Beat, None);
+            self.say();
+        }
+    }
+
+    async fn hear(self: Rc<Self>) {
+        let mut bytes = vec![0; MOST_MESSAGE + 1];
+        loop {
+            match self.socket.recv_from(&mut bytes).await {
+                Ok((length, source)) => self.arrived(&bytes[..length], source),
+                // A peer that is gone makes its system say so; nothing is to be done about it.
+                Err(_) => tokio::task::yield_now().await,
+            }
+        }
+    }
+
+    fn arrived(&self, bytes: &[u8], source: SocketAddr) {
+        match self.seal.open::<Beat>(bytes) {
+            Ok(opened) => {
+                let event =
+                    Event::Heard { from: opened.from, boot: opened.boot, beat: Box::new(opened.said) };
+                self.take(event, Some(source));
+            }
+            Err(why) => self.count(match why {
+                SealError::NoMessage | SealError::Long | SealError::Key => "no_message",
+                SealError::Version(_) => "other_version",
+                SealError::Digest => "wrong_digest",
+                SealError::Form => "wrong_form",
+            }),
+        }
+    }
+
+    fn count(&self, worth: &str) {
+        self.counts.messages.with_label_values(&[worth]).inc();
+    }
+
+    /// Has the machine take an event, and carries out what it says.
+    fn take(&self, event: Event, source: Option<SocketAddr>) {
+        let mut effects = Vec::new();
+        self.quota.borrow_mut().on(now(), event, &mut effects);
+        for input in self.carry_out(effects, source, &self.exchange.settings_of(Settings::clone)) {
+            self.exchange.limit(input);
+        }
+    }
+
+    /// Carries effects out, but for what the module is to be told, which is given.
+    fn carry_out(&self, effects: Vec<Effect>, source: Option<SocketAddr>, set: &Settings) -> Vec<Input> {
+        let mut inputs = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Send { to, beat } => {
+                    let to = self.told.borrow().roster.get(usize::from(to)).map(|(_, at)| *at);
+                    self.send(to, &beat);
+                }
+                Effect::Reply { beat } => self.send(source, &beat),
+                Effect::Right { volume, part, at } => inputs.extend(self.input(volume, part, at, set)),
+                Effect::Worth(news) => self.count(match news {
+                    News::Counts { .. } => "counts",
+                    News::Old => "old",
+                    News::Unproven => "unproven",
+                    News::Stranger => "stranger",
+                    News::NoPeer => "no_peer",
+                }),
+            }
+        }
+        inputs
+    }
+
+    /// What the module is told of a volume: its part of rate and store. A store holds one request at the least, so
+    /// that a small part is a slow rate and not a limit on size.
+    fn input(&self, volume: VolId, part: Part, at: i64, set: &Settings) -> Option<Input> {
+        let plan = set.plans.get(*self.plans.borrow().get(&volume)?)?;
+        let share = f64::from(part) / f64::from(WHOLE);
+        let burst = if part == 0 { 0.0 } else { (plan.limit_burst * share).max(set.most_units) };
+        let at = self.exchange.now() - (now() - at);
+        Some(Input::Limit { volume, rate: plan.limit_rate * share, burst, at })
+    }
+
+    fn send(&self, to: Option<SocketAddr>, beat: &Beat) {
+        let (me, boot) = {
+            let quota = self.quota.borrow();
+            (quota.terms().me, quota.boot())
+        };
+        let Some(to) = to else { return };
+        match self.seal.close(me, boot, beat) {
+            // A datagram that cannot go is lost like any other, and the next beat says all anew.
+            Ok(bytes) => {
+                let _ = self.socket.try_send_to(&bytes, to);
+            }
+            Err(_) => self.count("too_long"),
+        }
+    }
+
+    /// Says changes in the log, and sets the figures.
+    fn say(&self) {
+        let (quota, told, now) = (self.quota.borrow(), self.told.borrow(), now());
+        let mut alive = 0;
+        for place in quota.contacts().others() {
+            let belief = quota.contacts().belief(now, place);
+            alive += i64::from(belief == Belief::Alive);
+            let mut said = self.said.borrow_mut();
+            let before = std::mem::replace(&mut said[usize::from(place)], belief);
+            if before != belief {
+                log!("peers: {} is {}", told.roster[usize::from(place)].0, word(belief));
+            }
+        }
+        let back = quota.stands_back(now);
+        if self.stood_back.replace(back) != back {
+            let name = &told.roster[usize::from(quota.terms().me)].0;
+            match back {
+                true => log!("peers: another process has the name {name}; this one uses no shared limit until it is gone"),
+                false => log!("peers: no other process has the name {name} any more"),
+            }
+        }
+        self.counts.alive.set(alive);
+        self.counts.banks.set(quota.banks(now).len() as i64);
+        self.counts.standing_back.set(i64::from(back));
+    }
+
+    /// What this front believes of its peers, as JSON.
+    pub fn status(&self) -> Value {
+        let (quota, told, now) = (self.quota.borrow(), self.told.borrow(), now());
+        let name = |place: Place| told.roster[usize::from(place)].0.clone();
+        let millis = |span: i64| span / 1_000_000;
+        let peers: Vec<Value> = quota
+            .contacts()
+            .others()
+            .map(|place| {
+                let standing = quota.standing(now, place);
+                json!({
+                    "name": name(place),
+                    "address": told.roster[usize::from(place)].1.to_string(),
+                    "belief": word(standing.belief),
+                    "boot": standing.boot.map(|b| format!("{b:016x}")),
+                    "silent_ms": standing.silent.map(millis),
+                    "heard_by": standing.heard_by.into_iter().map(name).collect::<Vec<_>>(),
+                    "same_roster": standing.same_roster,
+                    "second_process": standing.stranger.map(|b| format!("{b:016x}")),
+                    "lent": f64::from(standing.lent) / f64::from(WHOLE),
+                    "borrowed": f64::from(standing.borrowed) / f64::from(WHOLE),
+                })
+            })
+            .collect();
+        json!({
+            "name": name(quota.terms().me),
+            "boot": format!("{:016x}", quota.boot()),
+            "revision": quota.terms().revision,
+            "settled": quota.is_settled(),
+            "just_started": quota.is_quiet(now),
+            "standing_back": quota.stands_back(now),
+            "banks": quota.banks(now).into_iter().map(name).collect::<Vec<_>>(),
+            "peers": peers,
+        })
+    }
+}
+
+impl Rights for Fleet {
+    fn before(&self, input: &Input, set: &Settings) -> Vec<Input> {
+        let mut effects = Vec::new();
+        let now = now();
+        match input {
+            Input::Asked(r) if set.plans.get(r.plan).is_some_and(|p| p.limit_rate > 0.0) => {
+                self.plans.borrow_mut().insert(r.volume, r.plan);
+                let asked = Event::Asked { volume: r.volume, units: r.units };
+                self.quota.borrow_mut().on(now, asked, &mut effects);
+            }
+            _ if now >= self.quota.borrow().ends_at() => {
+                self.quota.borrow_mut().on(now, Event::Look, &mut effects);
+            }
+            _ => return Vec::new(),
+        }
+        self.carry_out(effects, None, set)
+    }
+}
+
+fn word(belief: Belief) -> &'static str {
+    match belief {
+        Belief::Unheard => "unheard",
+        Belief::Alive => "alive",
+        Belief::Suspect => "suspect",
+        Belief::Dead => "dead",
+        Belief::Left => "left",
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(text: &str) -> Res<Peers> {
+        Peers::read(&simd_json::to_owned_value(&mut text.as_bytes().to_vec()).expect("JSON"), "b")
+    }
+
+    const FINE: &str = r#"{"listen": "127.0.0.1:1", "key_file": "k",
+        "roster": [{"name": "b", "address": "127.0.0.1:2"}, {"name": "a", "address": "127.0.0.1:3"}]}"#;
+
+    #[test]
+    fn places_follow_the_names_and_addresses_may_differ() {
+        let peers = read(FINE).expect("it holds");
+        assert_eq!((peers.terms.me, peers.terms.fronts, peers.terms.revision), (1, 2, 1));
+        let elsewhere = read(&FINE.replace("127.0.0.1:3", "127.0.0.1:9")).expect("it holds");
+        assert_eq!(elsewhere.terms, peers.terms);
+        let other = read(&FINE.replace("\"a\"", "\"c\"")).expect("it holds");
+        assert_ne!(other.terms.roster, peers.terms.roster);
+    }
+
+    #[test]
+    fn what_is_wrong_is_named_by_its_path() {
+        for (from, to, said) in [
+            (
+                "\"b\", \"address\": \"127.0.0.1:2\"",
+                "\"b\", \"address\": \"here\"",
+                "'peers.roster[0].address' here is no address",
+            ),
+            ("\"a\"", "\"b\"", "'peers.roster[1].name' b is there twice"),
+            ("127.0.0.1:3", "127.0.0.1:2", "'peers.roster[1].address' 127.0.0.1:2 is there twice"),
+            ("\"b\", \"address\"", "\"c\", \"address\"", "'peers.roster' does not name this front, b"),
+            (
+                "\"listen\"",
+                "\"floor\": 2, \"listen\"",
+                "'peers': a floor of 2000000 millionths is more than the whole",
+            ),
+            ("\"listen\"", "\"beat\": 2, \"listen\"", "'peers.beat' is not known"),
+            ("\"listen\"", "\"revision\": 0, \"listen\"", "'peers.revision' counts from 1"),
+            ("\"k\"", "7", "'peers.key_file' must be a text"),
+        ] {
+            assert_eq!(read(&FINE.replacen(from, to, 1)).err().as_deref(), Some(said), "{to}");
+        }
+    }
+}
--- a/src/retune.rs
+++ b/src/retune.rs
@@ -15,6 +15,7 @@
 use crate::exchange::Exchange;
 use crate::figures::Figures;
 use crate::log::log;
+use crate::peers::Fleet;
 use crate::server::Names;
 use crate::settings::Res;
 use crate::upstream::Upstream;
@@ -29,6 +30,8 @@
     pub figures: Rc<Figures>,
     /// Where discovery is.
     pub discovery: watch::Sender<Option<SocketAddr>>,
+    /// The front's peers, where it has any.
+    pub fleet: Option<Rc<Fleet>>,
     /// The settings last taken, as they came.
     pub told: Value,
 }
@@ -54,10 +57,17 @@
         if let Some(path) = missing(&self.told, &config.told, "settings") {
             return Err(format!("'{path}' is missing"));
         }
+        if let Some(fleet) = &self.fleet {
+            fleet.check(config.peers.as_ref())?;
+        }
+        let peers = config.peers.clone();
         let (told, discovery) = (config.told.clone(), config.discovery);
         let mut names = self.names.borrow().clone();
         let (settings, carried) = names.retune(config, &self.figures);
         self.exchange.retune(settings, &carried).map_err(|e| e.to_string())?;
+        if let (Some(fleet), Some(peers)) = (&self.fleet, peers) {
+            fleet.retune(peers);
+        }
         *self.names.borrow_mut() = names;
         self.told = told;
         if let Some(address) = discovery {
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -54,6 +54,9 @@
             "e": "fleet", "scope": scope_word(*scope), "entries": nodes.len(),
             "nodes": nodes.iter().map(|n| entry(n, &name)).collect::<Vec<Value>>(),
         }),
+        Input::Limit { volume, rate, burst, .. } => json!({
+            "e": "limit", "volume": format!("{volume:x}"), "rate": *rate, "burst": *burst,
+        }),
         Input::Timer(_) => return,
     };
     write(line);
