--- a/crates/peers/src/contacts.rs
+++ b/crates/peers/src/contacts.rs
@@ -35,6 +35,8 @@
     Unproven,
     /// Another boot of that name is there.
     Stranger,
+    /// Its roster is another, so that its place says nothing here.
+    OtherRoster,
     /// No place of the roster, or this front's own.
     NoPeer,
 }
--- a/crates/quota/src/beat.rs
+++ b/crates/quota/src/beat.rs
@@ -44,6 +44,10 @@
     pub revision: u32,
     /// What it says of itself.
     pub hello: Hello,
+    /// Whether it has held its own bank with this roster.
+    pub established: bool,
+    /// It answers a message that counts for nothing, and is not answered itself.
+    pub reply: bool,
     /// Banks that the sender wants to hold or to go on holding.
     pub wants: Vec<Place>,
     /// Of the banks that the receiver wanted in the beat that is echoed, those that the sender agrees to.
--- a/crates/quota/src/machine.rs
+++ b/crates/quota/src/machine.rs
@@ -80,8 +80,6 @@
     pub heard_by: Vec<Place>,
     /// Another process with its name has spoken within a life.
     pub stranger: Option<Boot>,
-    /// It runs with the same roster.
-    pub same_roster: bool,
     /// Most that is lent to it of any volume.
     pub lent: Part,
     /// Most that is borrowed from it of any volume.
@@ -107,14 +105,11 @@
 /// What passes between this front and another.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct Peer {
-    same_roster: bool,
     /// Of the banks that it wanted last, those agreed to.
     agreed: Vec<Place>,
     asks: BTreeMap<Volume, u64>,
     lent: Vec<Lent>,
     borrowed: Borrowed,
-    /// When a stranger under its name was last answered.
-    replied_at: Nanos,
 }
 
 impl Peer {
@@ -166,6 +161,10 @@
     peers: Vec<Peer>,
     agreed: Vec<Option<Agreed>>,
     wanted: BTreeMap<Place, Wanted>,
+    /// Whether its own bank has been held with this roster.
+    established: bool,
+    /// When a front with another roster of the same revision, that comes before this one, was last heard.
+    yields_at: Option<Nanos>,
     number: u64,
     meter: Meter,
     told: BTreeMap<Volume, Part>,
@@ -189,6 +188,8 @@
             peers: vec![Peer::default(); fronts],
             agreed: vec![None; fronts],
             wanted: BTreeMap::new(),
+            established: false,
+            yields_at: None,
             number: 0,
             meter: Meter::default(),
             told: BTreeMap::new(),
@@ -225,16 +226,18 @@
             }
             Event::Heard { from, boot, beat } => {
                 self.look(now, effects);
-                let mut less = BTreeSet::new();
+                let (mut less, is_reply) = (BTreeSet::new(), beat.reply);
                 let news = self.heard(now, from, boot, *beat, &mut less);
                 effects.push(Effect::Worth(news));
                 // Two that are strangers to each other must not answer each other's answers without end.
-                let replied = self.peers.get(usize::from(from)).map_or(now, |p| p.replied_at);
-                if news == News::Stranger && now >= replied + self.terms.beat {
-                    self.peers[usize::from(from)].replied_at = now;
-                    let beat = Box::new(self.beat(now, from, Loans::default()));
+                if matches!(news, News::Stranger | News::OtherRoster) && !is_reply {
+                    let to = from.min(self.terms.fronts - 1);
+                    let beat = Box::new(Beat { reply: true, ..self.beat(now, to, Loans::default()) });
                     effects.push(Effect::Reply { beat });
                 }
+                if news == News::OtherRoster {
+                    self.tell(now, now, effects);
+                }
                 // What has become more can wait for the next beat; what has become less cannot.
                 match news {
                     News::Counts { first } if first || self.stands_back(now) => self.tell(now, now, effects),
@@ -313,7 +316,12 @@
 
     /// Whether another process has this front's name, so that this one uses nothing.
     pub fn stands_back(&self, now: Nanos) -> bool {
-        self.contacts.is_shunned(now)
+        self.contacts.is_shunned(now) || self.yields(now)
+    }
+
+    /// Whether there is another roster of the same revision, whose fronts come before this one: it uses nothing.
+    pub fn yields(&self, now: Nanos) -> bool {
+        self.yields_at.is_some_and(|at| now < at + self.span())
     }
 
     /// What it believes of another front.
@@ -328,7 +336,6 @@
             silent: self.contacts.heard_at(place).map(|at| now - at),
             heard_by: self.contacts.heard_by(now, place).collect(),
             stranger: self.contacts.stranger(now, place),
-            same_roster: peer.same_roster,
             lent,
             borrowed,
         }
@@ -473,6 +480,7 @@
         }
         let wants: Vec<Place> = self.wanted.keys().copied().collect();
         self.release((me, self.boot()), &wants);
+        self.established |= self.banks(now).contains(&me) && now >= self.quiet_until;
     }
 
     /// The first front after a place, in the ring, that is heard.
@@ -507,7 +515,6 @@
     /// Whether a front is heard and runs with the same roster.
     fn is_with_us(&self, now: Nanos, place: Place) -> bool {
         self.contacts.belief(now, place) == Belief::Alive
-            && (self.peers[usize::from(place)].same_roster || seeded(Bug::AnyRoster))
     }
 
     fn heard(
@@ -519,6 +526,19 @@
         less: &mut BTreeSet<Volume>,
     ) -> News {
         let (mine, quiet) = (self.boot(), now < self.quiet_until && !seeded(Bug::NoQuietTime));
+        if beat.roster != self.terms.roster && !seeded(Bug::AnyRoster) {
+            // Of two rosters of one revision one is a mistake. Whoever has been at work goes on; of two that have,
+            // or have not, the one whose digest is less.
+            let before = match (beat.established, self.established) {
+                (theirs, mine) if theirs != mine => theirs,
+                _ => beat.roster < self.terms.roster,
+            };
+            if beat.revision == self.terms.revision && before {
+                self.yields_at = Some(now);
+                self.established = false;
+            }
+            return News::OtherRoster;
+        }
         let news = self.contacts.heard(now, from, boot, &beat.hello);
         let News::Counts { first } = news else { return news };
         let peer = &mut self.peers[usize::from(from)];
@@ -530,13 +550,6 @@
                 peer.borrowed = borrowed;
             }
         }
-        peer.same_roster = beat.roster == self.terms.roster && beat.revision == self.terms.revision;
-        if !peer.same_roster && !seeded(Bug::AnyRoster) {
-            // What it was lent runs on; nothing else passes between rosters.
-            peer.asks.clear();
-            peer.agreed.clear();
-            return news;
-        }
         peer.asks = beat.asks.iter().map(|a| (a.volume, a.milli)).collect();
         if let Some((_, used)) = beat.uses.filter(|(to, _)| *to == mine) {
             peer.lent.retain(|l| l.number >= used);
@@ -589,11 +602,13 @@
             roster: self.terms.roster,
             revision: self.terms.revision,
             hello: self.contacts.hello(now, to),
+            established: self.established,
+            reply: false,
             wants: match self.contacts.is_leaving() {
                 true => Vec::new(),
                 false => self.wanted.keys().copied().collect(),
             },
-            agrees: if peer.same_roster { peer.agreed.clone() } else { Vec::new() },
+            agrees: peer.agreed.clone(),
             settled: self.settled.iter().copied().collect(),
             asks,
             uses: self.contacts.boot_of(to).map(|boot| (boot, peer.borrowed.number)),
@@ -682,9 +697,10 @@
     pub fn fingerprint<H: Hasher>(&self, now: Nanos, h: &mut H) {
         let ago = |t: Nanos| if t <= now { -1 } else { t - now };
         (ago(self.quiet_until), self.old_floor, &self.settled).hash(h);
+        (self.established, self.yields_at.map(|t| ago(t + self.span()))).hash(h);
         self.contacts.fingerprint(now, h);
         for p in &self.peers {
-            (p.same_roster, &p.agreed, &p.asks).hash(h);
+            (&p.agreed, &p.asks).hash(h);
             let running = p.lent.iter().filter(|l| now < l.until);
             running.for_each(|l| (self.number - l.number, ago(l.until), &l.parts).hash(h));
             (ago(p.borrowed.until), &p.borrowed.parts).hash(h);
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -159,9 +159,6 @@
         let by: Vec<&str> = list(peer, "heard_by")?.iter().filter_map(Value::as_str).collect();
         let mut evidence =
             vec![if by.is_empty() { String::new() } else { format!("heard by {}", by.join(", ")) }];
-        if peer.get("same_roster").and_then(Value::as_bool) == Some(false) && silent != "-" {
-            evidence.push("another roster".to_owned());
-        }
         if let Some(boot) = peer.get("second_process").and_then(Value::as_str) {
             evidence.push(format!("a second process has its name: boot {boot}"));
         }
@@ -175,7 +172,9 @@
     if is("just_started") {
         println!("it has just started, and uses nothing of its own yet");
     }
-    if is("standing_back") {
+    if is("other_roster") {
+        println!("other fronts run with another roster of its revision, and it uses no shared limit");
+    } else if is("standing_back") {
         println!("another process has its name, and it uses no shared limit");
     }
     if !is("settled") {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -279,6 +279,7 @@
                     News::Old => "old",
                     News::Unproven => "unproven",
                     News::Stranger => "stranger",
+                    News::OtherRoster => "other_roster",
                     News::NoPeer => "no_peer",
                 }),
             }
@@ -328,8 +329,14 @@
         if self.stood_back.replace(back) != back {
             let name = &told.roster[usize::from(quota.terms().me)].0;
             match back {
-                true => log!("peers: another process has the name {name}; this one uses no shared limit until it is gone"),
-                false => log!("peers: no other process has the name {name} any more"),
+                true if quota.yields(now) => {
+                    let revision = quota.terms().revision;
+                    log!("peers: others run with another roster of revision {revision}; this one uses no shared limit");
+                }
+                true => {
+                    log!("peers: another process has the name {name}; this one uses no shared limit until it is gone");
+                }
+                false => log!("peers: this front shares limits again"),
             }
         }
         self.counts.alive.set(alive);
@@ -354,7 +361,6 @@
                     "boot": standing.boot.map(|b| format!("{b:016x}")),
                     "silent_ms": standing.silent.map(millis),
                     "heard_by": standing.heard_by.into_iter().map(name).collect::<Vec<_>>(),
-                    "same_roster": standing.same_roster,
                     "second_process": standing.stranger.map(|b| format!("{b:016x}")),
                     "lent": f64::from(standing.lent) / f64::from(WHOLE),
                     "borrowed": f64::from(standing.borrowed) / f64::from(WHOLE),
@@ -368,6 +374,7 @@
             "settled": quota.is_settled(),
             "just_started": quota.is_quiet(now),
             "standing_back": quota.stands_back(now),
+            "other_roster": quota.yields(now),
             "banks": quota.banks(now).into_iter().map(name).collect::<Vec<_>>(),
             "peers": peers,
         })
