Bound what a peer's beat may say; example file with peers; machine tests of two rosters

A beat with the largest numbers made the machine panic (attempt to add with overflow, crates/quota/tests/machine.rs): demand is taken up to 2^40, parts up to the whole, and an echo of what was not sent yet counts as of now.

--- a/crates/quota/src/machine.rs
+++ b/crates/quota/src/machine.rs
@@ -10,6 +10,9 @@
 use crate::seeded::{seeded, Bug};
 use crate::*;
 
+/// More thousandths of units a second than any volume is asked for: what a peer says is not added up past it.
+const MOST_MILLI: u64 = 1 << 40;
+
 /// What happens to a front.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -279,8 +282,10 @@
         }
         let lent = if seeded(Bug::OwnPartIsWhole) { 0 } else { self.lent(now, volume) };
         let borrowed = self.peers.iter().filter(|p| now < p.borrowed.until);
-        let borrowed: Part = borrowed.filter_map(|p| p.borrowed.parts.get(&volume)).sum();
-        own.saturating_sub(lent) + borrowed
+        let borrowed = borrowed
+            .filter_map(|p| p.borrowed.parts.get(&volume))
+            .fold(0, |all: Part, p| all.saturating_add(*p));
+        (own.saturating_sub(lent) + borrowed).min(WHOLE)
     }
 
     /// The banks that this front holds now.
@@ -550,16 +555,19 @@
                 peer.borrowed = borrowed;
             }
         }
-        peer.asks = beat.asks.iter().map(|a| (a.volume, a.milli)).collect();
+        let asks = beat.asks.iter().take(self.terms.most_volumes);
+        peer.asks = asks.map(|a| (a.volume, a.milli.min(MOST_MILLI))).collect();
         if let Some((_, used)) = beat.uses.filter(|(to, _)| *to == mine) {
             peer.lent.retain(|l| l.number >= used);
         }
         peer.lent.retain(|l| now < l.until);
         if let Some((_, asked)) = beat.hello.echo.filter(|(to, _)| *to == mine) {
+            // Nobody can have heard what was not sent yet.
+            let asked = asked.min(now);
             let from_when = if seeded(Bug::LoanFromReceipt) { now } else { asked };
             if beat.loans.number > peer.borrowed.number {
                 let parts: BTreeMap<Volume, Part> =
-                    beat.loans.parts.iter().map(|l| (l.volume, l.part)).collect();
+                    beat.loans.parts.iter().map(|l| (l.volume, l.part.min(WHOLE))).collect();
                 less.extend(
                     peer.borrowed.parts.iter().filter(|(v, p)| parts.get(v) != Some(p)).map(|(v, _)| *v),
                 );
--- /dev/null
+++ b/crates/quota/tests/machine.rs
@@ -0,0 +1,119 @@
+//! What a few machines do among themselves, step by step. Orders of faults are the simulation's and the checker's.
+
+use tulipbridge_quota::{Beat, Effect, Event, Nanos, Place, Quota, Terms, WHOLE};
+
+const MS: Nanos = 1_000_000;
+
+fn front(me: Place, fronts: Place, roster: u64) -> Quota {
+    Quota::new(Terms::new(me, fronts, roster), u64::from(me) * 100 + roster, 0).expect("the terms hold")
+}
+
+/// A beat of each, heard by all others at once; answers go back to whom they answer.
+fn round(fronts: &mut [Quota], now: Nanos) {
+    for from in 0..fronts.len() {
+        let mut effects = Vec::new();
+        fronts[from].on(now, Event::Asked { volume: 7, units: 2.0 }, &mut effects);
+        fronts[from].on(now, Event::Beat, &mut effects);
+        let (place, boot) = (fronts[from].terms().me, fronts[from].boot());
+        let beat = effects.iter().find_map(|e| match e {
+            Effect::Send { beat, .. } => Some(beat.clone()),
+            _ => None,
+        });
+        for to in (0..fronts.len()).filter(|to| *to != from) {
+            // Each is sent its own; where the receiver is in no roster of the sender's, what any other is sent.
+            let own = effects.iter().find_map(|e| match e {
+                Effect::Send { to: at, beat } if *at == fronts[to].terms().me => Some(beat.clone()),
+                _ => None,
+            });
+            let Some(beat) = own.or(beat.clone()) else { continue };
+            let mut answers = Vec::new();
+            fronts[to].on(now, Event::Heard { from: place, boot, beat }, &mut answers);
+            let (at, its) = (fronts[to].terms().me, fronts[to].boot());
+            for answer in answers {
+                if let Effect::Reply { beat } = answer {
+                    fronts[from].on(now, Event::Heard { from: at, boot: its, beat }, &mut Vec::new());
+                }
+            }
+        }
+    }
+}
+
+fn parts(fronts: &[Quota], now: Nanos) -> Vec<u32> {
+    fronts.iter().map(|f| f.part(now, 7)).collect()
+}
+
+#[test]
+fn a_front_that_has_started_uses_nothing_of_its_own_for_a_life() {
+    let mut fronts = [front(0, 2, 1), front(1, 2, 1)];
+    let mut now = 0;
+    while now < 1_900 * MS {
+        now += 200 * MS;
+        round(&mut fronts, now);
+        assert_eq!(parts(&fronts, now), vec![0, 0], "at {} ms", now / MS);
+    }
+    for _ in 0..10 {
+        now += 200 * MS;
+        round(&mut fronts, now);
+    }
+    let sum: u32 = parts(&fronts, now).iter().sum();
+    assert!((WHOLE - WHOLE / 50..=WHOLE).contains(&sum), "{sum}");
+}
+
+#[test]
+fn who_is_cut_off_among_three_falls_to_its_floor_when_its_agreements_end() {
+    let mut fronts = [front(0, 3, 1), front(1, 3, 1), front(2, 3, 1)];
+    let mut now = 0;
+    for _ in 0..20 {
+        now += 200 * MS;
+        round(&mut fronts, now);
+    }
+    let floor = fronts[0].terms().floor_part();
+    let mut effects = Vec::new();
+    fronts[2].on(now + 2_001 * MS, Event::Look, &mut effects);
+    let told = effects.iter().find_map(|e| match e {
+        Effect::Right { part, at, .. } => Some((*part, *at)),
+        _ => None,
+    });
+    let (part, at) = told.expect("it is told that it has less");
+    assert_eq!(part, floor);
+    assert!(at <= now + 2_000 * MS, "from when it ended, not from when it was looked at");
+}
+
+#[test]
+fn of_two_rosters_of_one_revision_the_fronts_of_one_use_nothing() {
+    // Two that know each other alone, and two that know all four: places 0 and 1 are the same fronts in both.
+    let mut fronts = [front(0, 2, 1), front(1, 2, 1), front(2, 4, 2), front(3, 4, 2)];
+    let mut now = 0;
+    for _ in 0..40 {
+        now += 200 * MS;
+        round(&mut fronts, now);
+        let sum: u32 = parts(&fronts, now).iter().sum();
+        assert!(sum <= WHOLE, "{sum} at {} ms", now / MS);
+    }
+    let yields: Vec<bool> = fronts.iter().map(|f| f.yields(now)).collect();
+    assert_eq!(yields, vec![false, false, true, true]);
+    assert!(parts(&fronts, now)[..2].iter().all(|p| *p > WHOLE / 3));
+}
+
+#[test]
+fn a_beat_with_any_places_and_numbers_does_no_harm() {
+    let mut fronts = [front(0, 2, 1), front(1, 2, 1)];
+    for step in 1..20 {
+        round(&mut fronts, step * 200 * MS);
+    }
+    let mut effects = Vec::new();
+    fronts[1].on(4_000 * MS, Event::Beat, &mut effects);
+    let Some(Effect::Send { beat, .. }) = effects.into_iter().next() else { panic!("a beat") };
+    let mut wild: Beat = *beat;
+    (wild.wants, wild.agrees) = (vec![0, 1, 9, u16::MAX], vec![0, 1, 9, u16::MAX]);
+    (wild.settled, wild.hello.hears) = (vec![7, u16::MAX], vec![9, u16::MAX]);
+    wild.loans.number = u64::MAX;
+    wild.loans.term = Nanos::MAX;
+    wild.asks.iter_mut().for_each(|a| a.milli = u64::MAX);
+    let boot = fronts[1].boot();
+    for from in [0, 1, 2, u16::MAX] {
+        fronts[0].on(4_001 * MS, Event::Heard { from, boot, beat: Box::new(wild.clone()) }, &mut Vec::new());
+        fronts[0].on(4_200 * MS, Event::Beat, &mut Vec::new());
+    }
+    assert!(fronts[0].part(4_300 * MS, 7) <= WHOLE);
+}
--- a/src/object/config.rs
+++ b/src/object/config.rs
@@ -106,6 +106,25 @@
         assert_eq!(config.base.discovery, None);
     }
 
+    #[test]
+    fn the_file_with_peers_holds_and_what_is_wrong_in_it_is_named_by_line_and_path() {
+        let file = include_str!("../../deploy/object-peers.json");
+        let config = Config::read(file.as_bytes()).expect("it holds");
+        assert_eq!(config.base.peers.map(|p| (p.terms.me, p.terms.fronts)), Some((0, 3)));
+        for (from, to, said) in [
+            ("127.0.0.1:7402", "nowhere", "line 11: 'peers.roster[1].address' nowhere is no address"),
+            (
+                "\"object-1\", \"address\"",
+                "\"object-9\", \"address\"",
+                "line 9: 'peers.roster' does not name this front, object-1",
+            ),
+            ("\"floor\"", "\"flor\"", "line 8: 'peers.flor' is not known"),
+        ] {
+            let told = Config::read(file.replacen(from, to, 1).as_bytes()).err().unwrap_or_default();
+            assert!(told.starts_with(said), "{told}");
+        }
+    }
+
     #[test]
     fn a_write_that_may_be_repeated_is_refused() {
         for (from, to) in [
