--- a/crates/peers/src/contacts.rs
+++ b/crates/peers/src/contacts.rs
@@ -208,10 +208,11 @@
         contact.boot.map(|_| contact.heard_at)
     }
 
-    /// Whether a front has shown that it has this one's messages of the last span: what is sent to it arrives.
+    /// Whether a front has shown that it has a message of this one's that is younger than three quarters of the span:
+    /// what is sent to it arrives, and may be of use there.
     pub fn hears_me(&self, now: Nanos, place: Place) -> bool {
         let contact = &self.contacts[usize::from(place)];
-        contact.boot.is_some() && now < contact.echoed.saturating_add(self.span / 2)
+        contact.boot.is_some() && now < contact.echoed.saturating_add(self.span - self.span / 4)
     }
 
     /// Another boot of a front's name that has spoken within the span.
--- a/crates/quota/src/machine.rs
+++ b/crates/quota/src/machine.rs
@@ -573,6 +573,10 @@
                 );
                 less.extend(parts.keys().filter(|v| !peer.borrowed.parts.contains_key(v)));
                 let until = from_when + beat.loans.term.clamp(0, self.terms.life);
+                // The same parts for a shorter time are less as well.
+                if until < peer.borrowed.until && !seeded(Bug::ShorterLoanMissed) {
+                    less.extend(parts.keys());
+                }
                 peer.borrowed = Borrowed { number: beat.loans.number, until, parts };
             }
             let from_when = if seeded(Bug::BankFromReceipt) { now } else { asked };
--- a/crates/quota/src/seeded.rs
+++ b/crates/quota/src/seeded.rs
@@ -16,6 +16,8 @@
     SmallQuorum,
     /// What a borrower no longer uses is taken as free before the borrower has said so.
     LoanFreedAtOnce,
+    /// A loan of the same parts that ends sooner than the one before is not noticed.
+    ShorterLoanMissed,
     /// A loan believed after its lender's agreement has ended: its term ignores the lender's own.
     LoanOutlivesBank,
     /// A bank is given back to its home at once, while loans from it run.
@@ -35,13 +37,14 @@
 }
 
 /// All of them.
-pub const ALL: [Bug; 14] = [
+pub const ALL: [Bug; 15] = [
     Bug::LoanFromReceipt,
     Bug::BankFromReceipt,
     Bug::NoQuietTime,
     Bug::AgreesTwice,
     Bug::SmallQuorum,
     Bug::LoanFreedAtOnce,
+    Bug::ShorterLoanMissed,
     Bug::LoanOutlivesBank,
     Bug::BankBackAtOnce,
     Bug::LeavesAtOnce,
--- a/crates/quota/tests/machine.rs
+++ b/crates/quota/tests/machine.rs
@@ -95,6 +95,37 @@
     assert!(parts(&fronts, now)[..2].iter().all(|p| *p > WHOLE / 3));
 }
 
+#[test]
+fn the_same_loan_for_a_shorter_time_is_less() {
+    let mut fronts = [front(0, 2, 1), front(1, 2, 1)];
+    for step in 1..20 {
+        round(&mut fronts, step * 200 * MS);
+    }
+    let now = 4_000 * MS;
+    let mut effects = Vec::new();
+    fronts[1].on(now, Event::Beat, &mut effects);
+    let Some(Effect::Send { beat, .. }) = effects.into_iter().next() else { panic!("a beat") };
+    let boot = fronts[1].boot();
+    let mut part = |number, term| {
+        let mut told = beat.clone();
+        told.hello.sent += number as Nanos;
+        told.loans.number += number;
+        told.loans.term = term;
+        told.loans.parts.iter_mut().for_each(|l| l.part = 200_000);
+        let mut effects = Vec::new();
+        fronts[0].on(now, Event::Heard { from: 1, boot, beat: told }, &mut effects);
+        let told = effects.iter().find_map(|e| match e {
+            Effect::Right { part, .. } => Some(*part),
+            _ => None,
+        });
+        (told, fronts[0].part(now, 7))
+    };
+    let (_, longer) = part(1, 2_000 * MS);
+    let (told, shorter) = part(2, 0);
+    assert!(shorter + 200_000 == longer, "{shorter}, {longer}");
+    assert_eq!(told, Some(shorter), "the module must be told");
+}
+
 #[test]
 fn a_beat_with_any_places_and_numbers_does_no_harm() {
     let mut fronts = [front(0, 2, 1), front(1, 2, 1)];
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -258,7 +258,8 @@
     fn take(&self, event: Event, source: Option<SocketAddr>) {
         let mut effects = Vec::new();
         self.quota.borrow_mut().on(now(), event, &mut effects);
-        for input in self.carry_out(effects, source, &self.exchange.settings_of(Settings::clone)) {
+        let inputs = self.exchange.settings_of(|set| self.carry_out(effects, source, set));
+        for input in inputs {
             self.exchange.limit(input);
         }
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -59,6 +59,9 @@
         let lab = joined().await;
         lab.load(2, 160);
         until_served(&lab, 0.9).await;
+        // One that ends in order says so, and is not waited for.
+        assert_eq!(lab.end(3, Signal::SIGTERM).await, Some(0));
+        assert!(lab.until_peers(0, |told| told.contains("\"belief\":\"left\"")).await, "it has left");
         keeps_the_bound(&lab);
     });
 }
