Forget volumes nobody asks for, follow a volume's plan, answer rivals with little

The plan of every volume ever asked for was kept for the life of the process (src/peers.rs); a limit that SIGHUP changed was told only when the part changed; a socket that refuses for good kept the thread busy; each message of another roster made every volume be looked at anew, and its answer took the place of a stranger for one of this roster. Tests: a_volume_that_nobody_asks_for_is_forgotten, a_volume_that_comes_with_another_plan_has_its_part_of_that_one.

--- a/crates/checker/src/rights.rs
+++ b/crates/checker/src/rights.rs
@@ -152,6 +152,7 @@
         for effect in effects {
             match effect {
                 Effect::Right { part, .. } => process.right = part,
+                Effect::Forget(_) => process.right = 0,
                 Effect::Send { to, beat } if !cut.contains(&(front, to)) => {
                     let held = state.hold.iter().position(|l| *l == (front, to));
                     let late = held.map_or(0, |at| {
--- a/crates/lab/src/simulate.rs
+++ b/crates/lab/src/simulate.rs
@@ -342,6 +342,11 @@
                     }
                 }
                 Effect::Reply { beat } => self.send(process, via, place, boot, *beat),
+                Effect::Forget(volume) => {
+                    if let Some(running) = &mut self.processes[process] {
+                        running.rights.remove(&volume);
+                    }
+                }
                 Effect::Worth(_) => {}
             }
         }
--- a/crates/peers/src/contacts.rs
+++ b/crates/peers/src/contacts.rs
@@ -7,7 +7,7 @@
 use crate::{Boot, Nanos, Place};
 
 /// What every message says of its sender.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Hello {
     /// When it was sent, by the sender's clock: later messages of a boot have later moments.
     pub sent: Nanos,
--- a/crates/quota/src/beat.rs
+++ b/crates/quota/src/beat.rs
@@ -36,7 +36,7 @@
 }
 
 /// From one front to another.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Beat {
     /// The sender's roster, as a digest.
     pub roster: u64,
--- a/crates/quota/src/machine.rs
+++ b/crates/quota/src/machine.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
 
-use tulipbridge_peers::Contacts;
+use tulipbridge_peers::{Contacts, Hello};
 
 use crate::meter::Meter;
 use crate::seeded::{seeded, Bug};
@@ -52,7 +52,7 @@
         /// What it says.
         beat: Box<Beat>,
     },
-    /// A beat goes back to where the event's message came from: its sender has another's name.
+    /// A beat goes back to where the event's message came from: its sender has another's name, or another roster.
     Reply {
         /// What it says.
         beat: Box<Beat>,
@@ -68,6 +68,9 @@
         /// From when.
         at: Nanos,
     },
+    /// Nobody has asked for a volume in a while: nothing of its limit is this front's to use, and nothing more is said
+    /// of it until it is asked for again.
+    Forget(Volume),
 }
 
 /// What a front believes of another, with the evidence.
@@ -212,9 +215,8 @@
             Event::Beat => {
                 self.look(now, effects);
                 for volume in self.meter.forget(now) {
-                    if self.told.remove(&volume).is_some_and(|part| part > 0) {
-                        effects.push(Effect::Right { volume, part: 0, at: now });
-                    }
+                    self.told.remove(&volume);
+                    effects.push(Effect::Forget(volume));
                 }
                 self.want(now);
                 self.contacts.round(now);
@@ -234,16 +236,13 @@
                 effects.push(Effect::Worth(news));
                 // Two that are strangers to each other must not answer each other's answers without end.
                 if matches!(news, News::Stranger | News::OtherRoster) && !is_reply {
-                    let to = from.min(self.terms.fronts - 1);
-                    let beat = Box::new(Beat { reply: true, ..self.beat(now, to, Loans::default()) });
+                    let beat = Box::new(self.reply(now, from, news));
                     effects.push(Effect::Reply { beat });
                 }
-                if news == News::OtherRoster {
-                    self.tell(now, now, effects);
-                }
                 // What has become more can wait for the next beat; what has become less cannot.
                 match news {
                     News::Counts { first } if first || self.stands_back(now) => self.tell(now, now, effects),
+                    News::OtherRoster if self.yields(now) => self.tell(now, now, effects),
                     News::Counts { .. } => {
                         self.tell_some(now, &less, effects);
                         self.note_end(now);
@@ -628,6 +627,20 @@
         }
     }
 
+    /// What is answered to who has another's name or another roster: that this front is there, and which roster it
+    /// has. Under another roster the sender's place says nothing.
+    fn reply(&self, now: Nanos, to: Place, news: News) -> Beat {
+        let hello = if news == News::Stranger { self.contacts.hello(now, to) } else { Hello::default() };
+        Beat {
+            roster: self.terms.roster,
+            revision: self.terms.revision,
+            established: self.established,
+            reply: true,
+            hello,
+            ..Beat::default()
+        }
+    }
+
     /// What this round of beats may lend, and how much is asked for and lent already.
     fn round(&self, now: Nanos) -> Round {
         let alive = |p: &Place| self.is_with_us(now, *p) && self.contacts.hears_me(now, *p);
--- a/crates/quota/tests/machine.rs
+++ b/crates/quota/tests/machine.rs
@@ -126,6 +126,18 @@
     assert_eq!(told, Some(shorter), "the module must be told");
 }
 
+#[test]
+fn a_volume_that_nobody_asks_for_is_forgotten() {
+    let mut alone = front(0, 1, 1);
+    let mut effects = Vec::new();
+    alone.on(3_000 * MS, Event::Asked { volume: 7, units: 2.0 }, &mut effects);
+    alone.on(3_200 * MS, Event::Beat, &mut effects);
+    alone.on(17_000 * MS, Event::Beat, &mut effects);
+    assert!(!effects.contains(&Effect::Forget(7)));
+    alone.on(19_000 * MS, Event::Beat, &mut effects);
+    assert!(effects.contains(&Effect::Forget(7)));
+}
+
 #[test]
 fn a_beat_with_any_places_and_numbers_does_no_harm() {
     let mut fronts = [front(0, 2, 1), front(1, 2, 1)];
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -28,6 +28,9 @@
 use crate::settings::{list, num, text, Res};
 use crate::upstream::Upstream;
 
+/// Between two tries to hear, where the system refuses.
+const AGAIN: Duration = Duration::from_millis(10);
+
 /// What the operators' file says of the front's peers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Peers {
@@ -103,6 +106,44 @@
     }
 }
 
+/// A limit as the module is told it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Limit {
+    rate: f64,
+    burst: f64,
+}
+
+/// What this front may use of each volume that is asked for, with the plan that the volume last came with.
+#[derive(Default)]
+struct Shares(HashMap<VolId, (usize, Part)>);
+
+impl Shares {
+    /// A volume is asked for under a plan. Gives its limit anew where the plan is another than before: a file taken
+    /// at SIGHUP may have changed its figures.
+    fn asked(&mut self, volume: VolId, plan: usize, set: &Settings) -> Option<Limit> {
+        let (held, part) = self.0.entry(volume).or_insert((plan, 0));
+        let other = std::mem::replace(held, plan) != plan;
+        let part = *part;
+        other.then(|| Shares::limit(plan, part, set)).flatten()
+    }
+
+    /// So much of a volume's limit is this front's.
+    fn tell(&mut self, volume: VolId, part: Part, set: &Settings) -> Option<Limit> {
+        let (plan, held) = self.0.get_mut(&volume)?;
+        *held = part;
+        Shares::limit(*plan, part, set)
+    }
+
+    /// A part of a plan's limit. A store holds one request at the least, so that a small part is a slow rate and not
+    /// a limit on size.
+    fn limit(plan: usize, part: Part, set: &Settings) -> Option<Limit> {
+        let plan = set.plans.get(plan)?;
+        let share = f64::from(part) / f64::from(WHOLE);
+        let burst = if part == 0 { 0.0 } else { (plan.limit_burst * share).max(set.most_units) };
+        Some(Limit { rate: plan.limit_rate * share, burst })
+    }
+}
+
 /// Counts for operators.
 struct Counts {
     messages: IntCounterVec,
@@ -117,8 +158,7 @@
     seal: Seal,
     socket: UdpSocket,
     told: RefCell<Peers>,
-    /// The plan that each volume last came with.
-    plans: RefCell<HashMap<VolId, usize>>,
+    shares: RefCell<Shares>,
     exchange: Rc<Exchange<Upstream>>,
     counts: Counts,
     /// What each front was last believed to be, to say a change once.
@@ -174,7 +214,7 @@
             seal,
             socket,
             told: RefCell::new(told),
-            plans: RefCell::default(),
+            shares: RefCell::default(),
             exchange: Rc::clone(exchange),
             counts,
             stood_back: Cell::new(false),
@@ -228,8 +268,8 @@
         loop {
             match self.socket.recv_from(&mut bytes).await {
                 Ok((length, source)) => self.arrived(&bytes[..length], source),
-                // A peer that is gone makes its system say so; nothing is to be done about it.
-                Err(_) => tokio::task::yield_now().await,
+                // A peer that is gone makes its system say so, once; what lasts must not keep this thread busy.
+                Err(_) => tokio::time::sleep(AGAIN).await,
             }
         }
     }
@@ -274,7 +314,14 @@
                     self.send(to, &beat);
                 }
                 Effect::Reply { beat } => self.send(source, &beat),
-                Effect::Right { volume, part, at } => inputs.extend(self.input(volume, part, at, set)),
+                Effect::Right { volume, part, at } => {
+                    let limit = self.shares.borrow_mut().tell(volume, part, set);
+                    inputs.extend(limit.map(|limit| self.input(volume, limit, at)));
+                }
+                Effect::Forget(volume) => {
+                    self.shares.borrow_mut().0.remove(&volume);
+                    inputs.push(self.input(volume, Limit::default(), now()));
+                }
                 Effect::Worth(news) => self.count(match news {
                     News::Counts { .. } => "counts",
                     News::Old => "old",
@@ -288,14 +335,10 @@
         inputs
     }
 
-    /// What the module is told of a volume: its part of rate and store. A store holds one request at the least, so
-    /// that a small part is a slow rate and not a limit on size.
-    fn input(&self, volume: VolId, part: Part, at: i64, set: &Settings) -> Option<Input> {
-        let plan = set.plans.get(*self.plans.borrow().get(&volume)?)?;
-        let share = f64::from(part) / f64::from(WHOLE);
-        let burst = if part == 0 { 0.0 } else { (plan.limit_burst * share).max(set.most_units) };
+    /// What the module is told of a volume, from a moment on.
+    fn input(&self, volume: VolId, limit: Limit, at: i64) -> Input {
         let at = self.exchange.now() - (now() - at);
-        Some(Input::Limit { volume, rate: plan.limit_rate * share, burst, at })
+        Input::Limit { volume, rate: limit.rate, burst: limit.burst, at }
     }
 
     fn send(&self, to: Option<SocketAddr>, beat: &Beat) {
@@ -388,9 +431,13 @@
         let now = now();
         match input {
             Input::Asked(r) if set.plans.get(r.plan).is_some_and(|p| p.limit_rate > 0.0) => {
-                self.plans.borrow_mut().insert(r.volume, r.plan);
+                let limit = self.shares.borrow_mut().asked(r.volume, r.plan, set);
                 let asked = Event::Asked { volume: r.volume, units: r.units };
                 self.quota.borrow_mut().on(now, asked, &mut effects);
+                let mut inputs: Vec<Input> =
+                    limit.map(|limit| self.input(r.volume, limit, now)).into_iter().collect();
+                inputs.extend(self.carry_out(effects, None, set));
+                return inputs;
             }
             _ if now >= self.quota.borrow().ends_at() => {
                 self.quota.borrow_mut().on(now, Event::Look, &mut effects);
@@ -432,6 +479,23 @@
         assert_ne!(other.terms.roster, peers.terms.roster);
     }
 
+    #[test]
+    fn a_volume_that_comes_with_another_plan_has_its_part_of_that_one() {
+        let json = include_bytes!("../crates/lab/src/settings.json").to_vec();
+        let boot = simd_json::to_owned_value(&mut json.clone()).expect("JSON");
+        let mut set = crate::settings::settings(&boot).expect("it holds");
+        let mut faster = set.plans[0].clone();
+        faster.limit_rate *= 3.0;
+        set.plans.push(faster);
+        let mut shares = Shares::default();
+        assert_eq!(shares.tell(7, WHOLE, &set), None, "nobody asks for it");
+        assert_eq!(shares.asked(7, 0, &set), None);
+        assert_eq!(shares.tell(7, WHOLE / 4, &set), Some(Limit { rate: 10.0, burst: 6.0 }));
+        assert_eq!(shares.asked(7, 0, &set), None);
+        assert_eq!(shares.asked(7, 1, &set), Some(Limit { rate: 30.0, burst: 6.0 }));
+        assert_eq!(shares.tell(7, 0, &set), Some(Limit::default()));
+    }
+
     #[test]
     fn what_is_wrong_is_named_by_its_path() {
         for (from, to, said) in [
