Say once a round what all peers are told; one smoothed rate, one notion of a live peer

The demand of every volume, whom a front hears and which banks it wants were worked out for each recipient of each beat; they are now once a round. A front at the first revision no longer lists who has taken the roster. The smoothed rate of crates/core serves the meter, in place of a second one; is_with_us and two tests of a live contact were one thing.

--- a/crates/checker/src/cli.rs
+++ b/crates/checker/src/cli.rs
@@ -315,7 +315,7 @@
 /// its own, which gives all its memory back.
 #[cfg(feature = "seeded")]
 fn rights(bug: Option<usize>, bounds: Bounds) -> Result<u8, Failure> {
-    use tulipbridge_quota::seeded::{plant, ALL};
+    use tulipbridge_quota::seeded::{seed, ALL};
     let Some(bug) = bug else {
         let program =
             std::env::current_exe().map_err(|source| Failure::Write { path: "itself".into(), source })?;
@@ -329,7 +329,7 @@
         return Ok(0);
     };
     let bug = *ALL.get(bug).ok_or_else(|| Failure::Bug(bug.to_string()))?;
-    plant(Some(bug));
+    seed(Some(bug));
     let worlds = configs::all().into_iter().filter(|c| matches!(c, Config::Rights(_)));
     let found =
         worlds.map(|world| search(world, bounds)).find_map(|report| Some((report.config, report.broken?)));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,4 +44,4 @@
 pub mod tune;
 
 pub use interface::*;
-pub use state::Scheduler;
+pub use state::{Rate, Scheduler};
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -37,10 +37,11 @@
     }
 }
 
-/// Events or units a second, smoothed over time.
+/// Events or units a second, smoothed over a memory in nanoseconds: what came that long ago counts for a third.
 #[derive(Clone, Debug, Default)]
 pub struct Rate {
     per_second: f64,
+    /// When it was last added to.
     pub at: Nanos,
 }
 
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -367,13 +367,13 @@
 
 #[cfg(feature = "seeded")]
 fn bugs(most: u64) -> Result<bool, Failure> {
-    use tulipbridge_quota::seeded::{plant, Bug, ALL};
+    use tulipbridge_quota::seeded::{seed, Bug, ALL};
     // One needs an order of events that hardly any schedule has; the checker finds it.
     let all: Vec<Bug> = ALL.into_iter().filter(|bug| *bug != Bug::ShorterLoanMissed).collect();
     println!("left to tulipbridge-check rights: {:?}", Bug::ShorterLoanMissed);
     let mut found = Vec::new();
     for bug in all.iter().copied() {
-        plant(Some(bug));
+        seed(Some(bug));
         let first = Mutex::new(None::<u64>);
         // A few hundred at a time, so that a bug that is found at once costs little.
         for from in (0..most).step_by(500) {
@@ -387,7 +387,7 @@
                 break;
             }
         }
-        plant(None);
+        seed(None);
         found.push(first.into_inner().expect("no thread panics"));
     }
     for (bug, seed) in all.iter().zip(&found) {
--- a/crates/peers/src/contacts.rs
+++ b/crates/peers/src/contacts.rs
@@ -83,6 +83,8 @@
     span: Nanos,
     leaving: bool,
     sent: Nanos,
+    /// Whom it hears, as this round of messages says.
+    hearing: Vec<Place>,
     contacts: Vec<Contact>,
 }
 
@@ -90,7 +92,7 @@
     /// A front that has just started at a place among so many, and has heard nobody.
     pub fn new(me: Place, fronts: Place, boot: Boot, span: Nanos) -> Contacts {
         let contacts = vec![Contact::default(); usize::from(fronts)];
-        Contacts { me, boot, span, leaving: false, sent: Nanos::MIN, contacts }
+        Contacts { me, boot, span, leaving: false, sent: Nanos::MIN, hearing: Vec::new(), contacts }
     }
 
     /// The same run of a front under another roster: nobody is known yet, and its messages go on in their order.
@@ -118,6 +120,7 @@
     /// Begins a round of messages at a moment later than that of any before.
     pub fn round(&mut self, now: Nanos) {
         self.sent = now.max(self.sent.saturating_add(1));
+        self.hearing = self.others().filter(|p| self.hears(now, *p)).collect();
     }
 
     /// What the messages of this round say of this front to another.
@@ -131,7 +134,7 @@
             echo: known.or(contact.unproven),
             stranger: strange,
             leaving: self.leaving,
-            hears: self.others().filter(|p| self.hears(now, *p)).collect(),
+            hears: self.hearing.clone(),
         }
     }
 
@@ -178,7 +181,7 @@
         if contact.boot.is_some() && contact.left {
             return Belief::Left;
         }
-        if contact.boot.is_some() && now < contact.heard_at + self.span {
+        if self.is_alive(now, place) {
             return Belief::Alive;
         }
         match (self.heard_by(now, place).next(), contact.boot) {
@@ -188,13 +191,16 @@
         }
     }
 
+    /// Whether a front is heard, and has not said that it ends.
+    pub fn is_alive(&self, now: Nanos, place: Place) -> bool {
+        let contact = &self.contacts[usize::from(place)];
+        contact.boot.is_some() && !contact.left && now < contact.heard_at + self.span
+    }
+
     /// Who says that it hears a front.
     pub fn heard_by(&self, now: Nanos, place: Place) -> impl Iterator<Item = Place> + '_ {
-        let heard = move |c: &Contact| c.boot.is_some() && now < c.heard_at + self.span;
-        self.others().filter(move |by| {
-            let contact = &self.contacts[usize::from(*by)];
-            heard(contact) && !contact.left && contact.hears.contains(&place)
-        })
+        let says = move |by: &Place| self.contacts[usize::from(*by)].hears.contains(&place);
+        self.others().filter(move |by| self.is_alive(now, *by) && says(by))
     }
 
     /// The boot of a front that counts, where one does.
@@ -239,7 +245,7 @@
     /// All that later beliefs hang on, with moments by how far they are from `now`.
     pub fn fingerprint<H: Hasher>(&self, now: Nanos, h: &mut H) {
         let left = |t: Nanos| (t + self.span - now).max(0);
-        (self.me, self.boot, self.leaving).hash(h);
+        (self.me, self.boot, self.leaving, &self.hearing).hash(h);
         for c in &self.contacts {
             (c.boot, left(c.heard_at), c.left, &c.hears, c.shuns_at.map(left)).hash(h);
             (c.unproven.map(|u| u.0), c.stranger.map(|(b, at)| (b, left(at)))).hash(h);
--- a/crates/quota/src/machine.rs
+++ b/crates/quota/src/machine.rs
@@ -127,8 +127,10 @@
     }
 }
 
-/// What a round of beats lends from.
+/// What a round of beats says, and what it lends from.
 struct Round {
+    /// What every front is told.
+    all: Beat,
     own: Part,
     /// Loans end by then.
     until: Nanos,
@@ -224,7 +226,7 @@
                 let mut round = self.round(now);
                 for to in (0..self.terms.fronts).filter(|to| *to != me) {
                     let loans = self.lend(now, to, &mut round);
-                    let beat = Box::new(self.beat(now, to, loans));
+                    let beat = Box::new(self.beat(now, to, loans, &round));
                     effects.push(Effect::Send { to, beat });
                 }
                 self.tell(now, now, effects);
@@ -243,10 +245,7 @@
                 match news {
                     News::Counts { first } if first || self.stands_back(now) => self.tell(now, now, effects),
                     News::OtherRoster if self.yields(now) => self.tell(now, now, effects),
-                    News::Counts { .. } => {
-                        self.tell_some(now, &less, effects);
-                        self.note_end(now);
-                    }
+                    News::Counts { .. } => self.tell_some(now, &less, effects),
                     _ => {}
                 }
             }
@@ -371,12 +370,15 @@
 
     /// The same for some volumes, of those that are asked for here.
     fn tell_some(&mut self, now: Nanos, volumes: &BTreeSet<Volume>, effects: &mut Vec<Effect>) {
-        let own = self.own(now);
-        for volume in volumes {
-            if self.told.contains_key(volume) {
-                self.tell_one(now, now, own, *volume, effects);
+        if !volumes.is_empty() {
+            let own = self.own(now);
+            for volume in volumes {
+                if self.told.contains_key(volume) {
+                    self.tell_one(now, now, own, *volume, effects);
+                }
             }
         }
+        self.note_end(now);
     }
 
     fn tell_one(&mut self, now: Nanos, ended: Nanos, own: Part, volume: Volume, effects: &mut Vec<Effect>) {
@@ -491,7 +493,7 @@
     fn next_after(&self, now: Nanos, place: Place) -> Place {
         let fronts = u32::from(self.terms.fronts);
         let ring = (1..fronts).map(|step| ((u32::from(place) + step) % fronts) as Place);
-        let there = |p: &Place| *p == self.terms.me || self.is_with_us(now, *p);
+        let there = |p: &Place| *p == self.terms.me || self.contacts.is_alive(now, *p);
         ring.into_iter().find(there).unwrap_or(self.terms.me)
     }
 
@@ -516,11 +518,6 @@
         }
     }
 
-    /// Whether a front is heard and runs with the same roster.
-    fn is_with_us(&self, now: Nanos, place: Place) -> bool {
-        self.contacts.belief(now, place) == Belief::Alive
-    }
-
     fn heard(
         &mut self,
         now: Nanos,
@@ -601,29 +598,15 @@
         news
     }
 
-    /// What a front is told.
-    fn beat(&mut self, now: Nanos, to: Place, loans: Loans) -> Beat {
+    /// What a front is told in a round: what all are told, and what is its alone.
+    fn beat(&self, now: Nanos, to: Place, loans: Loans, round: &Round) -> Beat {
         let peer = &self.peers[usize::from(to)];
-        let mut asks: Vec<Ask> = self.meter.all(now).map(|(volume, milli)| Ask { volume, milli }).collect();
-        if asks.len() > self.terms.most_volumes {
-            asks.sort_unstable_by_key(|a| (std::cmp::Reverse(a.milli), a.volume));
-            asks.truncate(self.terms.most_volumes);
-        }
         Beat {
-            roster: self.terms.roster,
-            revision: self.terms.revision,
             hello: self.contacts.hello(now, to),
-            established: self.established,
-            reply: false,
-            wants: match self.contacts.is_leaving() {
-                true => Vec::new(),
-                false => self.wanted.keys().copied().collect(),
-            },
             agrees: peer.agreed.clone(),
-            settled: self.settled.iter().copied().collect(),
-            asks,
             uses: self.contacts.boot_of(to).map(|boot| (boot, peer.borrowed.number)),
             loans,
+            ..round.all.clone()
         }
     }
 
@@ -631,19 +614,34 @@
     /// has. Under another roster the sender's place says nothing.
     fn reply(&self, now: Nanos, to: Place, news: News) -> Beat {
         let hello = if news == News::Stranger { self.contacts.hello(now, to) } else { Hello::default() };
-        Beat {
-            roster: self.terms.roster,
-            revision: self.terms.revision,
-            established: self.established,
-            reply: true,
-            hello,
-            ..Beat::default()
+        Beat { reply: true, hello, ..self.signed() }
+    }
+
+    /// A beat that says no more than which roster this front has.
+    fn signed(&self) -> Beat {
+        let Terms { roster, revision, .. } = self.terms;
+        Beat { roster, revision, established: self.established, ..Beat::default() }
+    }
+
+    /// What every front is told in a round.
+    fn to_all(&self, now: Nanos) -> Beat {
+        let asks = self.meter.all(now).map(|(volume, milli)| Ask { volume, milli });
+        let mut asks: Vec<Ask> = asks.filter(|a| a.milli > 0).collect();
+        if asks.len() > self.terms.most_volumes {
+            asks.sort_unstable_by_key(|a| (std::cmp::Reverse(a.milli), a.volume));
+            asks.truncate(self.terms.most_volumes);
         }
+        let wants =
+            if self.contacts.is_leaving() { Vec::new() } else { self.wanted.keys().copied().collect() };
+        // At the first revision every name counts as having taken it.
+        let settled =
+            if self.terms.revision > 1 { self.settled.iter().copied().collect() } else { Vec::new() };
+        Beat { wants, settled, asks, ..self.signed() }
     }
 
     /// What this round of beats may lend, and how much is asked for and lent already.
     fn round(&self, now: Nanos) -> Round {
-        let alive = |p: &Place| self.is_with_us(now, *p) && self.contacts.hears_me(now, *p);
+        let alive = |p: &Place| self.contacts.is_alive(now, *p) && self.contacts.hears_me(now, *p);
         let alive: Vec<bool> = (0..self.terms.fronts).map(|p| alive(&p)).collect();
         let mut volumes: BTreeMap<Volume, (u64, Part)> = BTreeMap::new();
         for (volume, milli) in self.meter.all(now) {
@@ -658,7 +656,8 @@
                 volumes.entry(volume).or_default().1 += peer.lent_of(now, volume);
             }
         }
-        Round { own: self.own(now), until: self.own_until(now), alive, volumes }
+        let all = self.to_all(now);
+        Round { all, own: self.own(now), until: self.own_until(now), alive, volumes }
     }
 
     /// Lends a front what this one has, in step with how much each volume is asked for at each front.
--- a/crates/quota/src/meter.rs
+++ b/crates/quota/src/meter.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use tulipbridge_core::Rate;
+
 use crate::{Nanos, Volume};
 
 /// Over this time an average forgets.
@@ -15,32 +17,17 @@
     rates: BTreeMap<Volume, Rate>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Rate {
-    per_second: f64,
-    at: Nanos,
-}
-
-impl Rate {
-    fn now(&self, now: Nanos) -> f64 {
-        self.per_second * (-((now - self.at).max(0) as f64) / MEMORY).exp()
-    }
-}
-
 impl Meter {
     /// Counts units asked for, and tells whether the volume is new.
     pub fn count(&mut self, now: Nanos, volume: Volume, units: f64) -> bool {
         let fresh = !self.rates.contains_key(&volume);
-        let rate = self.rates.entry(volume).or_insert(Rate { per_second: 0.0, at: now });
-        // A sum that forgets starts low: what comes first counts as a stream over the memory.
-        rate.per_second = rate.now(now) + units.max(0.0) * (1e9 / MEMORY);
-        rate.at = now.max(rate.at);
+        self.rates.entry(volume).or_insert_with(|| Rate::new(now)).add(now, units.max(0.0), MEMORY);
         fresh
     }
 
     /// The volumes asked for, with thousandths of units a second.
     pub fn all(&self, now: Nanos) -> impl Iterator<Item = (Volume, u64)> + '_ {
-        self.rates.iter().map(move |(v, r)| (*v, (r.now(now) * 1e3) as u64))
+        self.rates.iter().map(move |(v, r)| (*v, (r.now(now, MEMORY) * 1e3) as u64))
     }
 
     /// Forgets volumes that nobody has asked for in a while, and names them.
--- a/crates/quota/src/seeded.rs
+++ b/crates/quota/src/seeded.rs
@@ -67,13 +67,13 @@
     }
 
     /// Puts one bug in force in this process, or none.
-    pub fn plant(bug: Option<super::Bug>) {
+    pub fn seed(bug: Option<super::Bug>) {
         CHOSEN.store(bug.map_or(0, |b| b as usize + 1), Ordering::Relaxed);
     }
 }
 
 #[cfg(feature = "seeded")]
-pub use chosen::{plant, seeded};
+pub use chosen::{seed, seeded};
 
 /// Whether this bug is in force: never, in this build.
 #[cfg(not(feature = "seeded"))]
