Fingerprint all that the machine of limits hangs on: the search counts the same each time

States count as one by a hash that left out the numbers of loans, when messages were sent, and parts of a demand under a thousandth; which of two was looked at first decided what was searched. Test: states_from_which_different_things_follow_have_different_fingerprints.

--- a/crates/checker/src/rights.rs
+++ b/crates/checker/src/rights.rs
@@ -77,7 +77,7 @@
 
 impl Hash for State {
     fn hash<H: Hasher>(&self, h: &mut H) {
-        (self.round, self.troubles, &self.messages, &self.cut, &self.hold, self.broken).hash(h);
+        (self.round, self.troubles, self.boots, &self.messages, &self.cut, &self.hold, self.broken).hash(h);
         for process in &self.processes {
             match process {
                 None => 0u8.hash(h),
--- a/crates/peers/src/contacts.rs
+++ b/crates/peers/src/contacts.rs
@@ -245,14 +245,11 @@
     /// All that later beliefs hang on, with moments by how far they are from `now`.
     pub fn fingerprint<H: Hasher>(&self, now: Nanos, h: &mut H) {
         let left = |t: Nanos| (t + self.span - now).max(0);
-        (self.me, self.boot, self.leaving, &self.hearing).hash(h);
+        (self.me, self.boot, self.leaving, now.saturating_sub(self.sent), &self.hearing).hash(h);
         for c in &self.contacts {
             (c.boot, left(c.heard_at), c.left, &c.hears, c.shuns_at.map(left)).hash(h);
-            (c.unproven.map(|u| u.0), c.stranger.map(|(b, at)| (b, left(at)))).hash(h);
-            if c.boot.is_some() {
-                (now.saturating_sub(c.sent).min(2 * self.span), left(c.echoed.max(now - 2 * self.span)))
-                    .hash(h);
-            }
+            (c.unproven.map(|(b, t)| (b, now - t)), c.stranger.map(|(b, at)| (b, left(at)))).hash(h);
+            (now.saturating_sub(c.sent), now.saturating_sub(c.echoed)).hash(h);
         }
     }
 }
--- a/crates/quota/src/machine.rs
+++ b/crates/quota/src/machine.rs
@@ -726,8 +726,8 @@
         for p in &self.peers {
             (&p.agreed, &p.asks).hash(h);
             let running = p.lent.iter().filter(|l| now < l.until);
-            running.for_each(|l| (self.number - l.number, ago(l.until), &l.parts).hash(h));
-            (ago(p.borrowed.until), &p.borrowed.parts).hash(h);
+            running.for_each(|l| (l.number, ago(l.until), &l.parts).hash(h));
+            (p.borrowed.number, ago(p.borrowed.until), &p.borrowed.parts).hash(h);
         }
         for agreed in &self.agreed {
             agreed.filter(|a| a.until > now).map(|a| (a.to, ago(a.until))).hash(h);
@@ -736,6 +736,7 @@
             (bank, now - w.since, w.back.map(ago)).hash(h);
             w.votes.iter().for_each(|(p, t)| (p, ago(*t)).hash(h));
         }
-        self.meter.all(now).for_each(|a| a.hash(h));
+        (self.number, &self.told, ago(self.ends_at)).hash(h);
+        self.meter.fingerprint(now, h);
     }
 }
--- a/crates/quota/src/meter.rs
+++ b/crates/quota/src/meter.rs
@@ -1,6 +1,7 @@
 //! How much of each volume is asked for at this front.
 
 use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
 
 use tulipbridge_core::Rate;
 
@@ -40,6 +41,11 @@
         idle
     }
 
+    /// All that later rates hang on.
+    pub fn fingerprint<H: Hasher>(&self, now: Nanos, h: &mut H) {
+        self.rates.iter().for_each(|(v, r)| (v, r.now(now, MEMORY).to_bits(), now - r.at).hash(h));
+    }
+
     /// The volumes known.
     pub fn volumes(&self) -> impl Iterator<Item = Volume> + '_ {
         self.rates.keys().copied()
--- a/crates/quota/tests/machine.rs
+++ b/crates/quota/tests/machine.rs
@@ -1,5 +1,7 @@
 //! What a few machines do among themselves, step by step. Orders of faults are the simulation's and the checker's.
 
+use std::hash::{DefaultHasher, Hasher};
+
 use tulipbridge_quota::{Beat, Effect, Event, Nanos, Place, Quota, Terms, WHOLE};
 
 const MS: Nanos = 1_000_000;
@@ -138,6 +140,34 @@
     assert!(effects.contains(&Effect::Forget(7)));
 }
 
+#[test]
+fn states_from_which_different_things_follow_have_different_fingerprints() {
+    let mut fronts = [front(0, 2, 1), front(1, 2, 1)];
+    for step in 1..20 {
+        round(&mut fronts, step * 200 * MS);
+    }
+    let now = 4_000 * MS;
+    let mut effects = Vec::new();
+    fronts[1].on(now, Event::Beat, &mut effects);
+    let Some(Effect::Send { beat, .. }) = effects.into_iter().next() else { panic!("a beat") };
+    let print = |number: u64, units: f64| {
+        let (mut one, mut told) = (fronts[0].clone(), beat.clone());
+        told.loans.number += number;
+        one.on(now, Event::Heard { from: 1, boot: fronts[1].boot(), beat: told }, &mut Vec::new());
+        one.on(now, Event::Asked { volume: 7, units }, &mut Vec::new());
+        let mut hasher = DefaultHasher::new();
+        one.fingerprint(now, &mut hasher);
+        hasher.finish()
+    };
+    assert_eq!(print(0, 2.0), print(0, 2.0));
+    assert_ne!(
+        print(0, 2.0),
+        print(1, 2.0),
+        "the next loan may be the same number as the one held, or a later"
+    );
+    assert_ne!(print(0, 2.0), print(0, 2.000_001), "demands that are told alike now drift apart");
+}
+
 #[test]
 fn a_beat_with_any_places_and_numbers_does_no_harm() {
     let mut fronts = [front(0, 2, 1), front(1, 2, 1)];
