--- a/crates/checker/src/cli.rs
+++ b/crates/checker/src/cli.rs
@@ -53,6 +53,9 @@
         /// This one alone
         #[arg(long)]
         name: Option<String>,
+        /// Those of the machine of shared limits instead, in the configurations of that name
+        #[arg(long)]
+        rights: bool,
         /// Writes the reports here
         #[arg(long)]
         json: Option<PathBuf>,
@@ -62,14 +65,6 @@
         #[command(flatten)]
         bounds: Limits,
     },
-    /// The same for the machine of shared limits, with the configurations of that name
-    Rights {
-        /// This one alone, by its number
-        #[arg(long)]
-        bug: Option<usize>,
-        #[command(flatten)]
-        bounds: Limits,
-    },
     /// Plays one long random history, the same every time for a seed
     Walk {
         /// The configuration
@@ -141,6 +136,9 @@
     #[error("cannot write {}: {source}", path.display())]
     Json { path: PathBuf, source: simd_json::Error },
     #[cfg(feature = "seeded")]
+    #[error("cannot start itself again: {0}")]
+    Itself(std::io::Error),
+    #[cfg(feature = "seeded")]
     #[error("no seeded bug is called '{0}'; 'tulipbridge-check list' shows them")]
     Bug(String),
     #[cfg(not(feature = "seeded"))]
@@ -164,10 +162,10 @@
         Command::Explore { config, quick, json, trace, bounds } => {
             explore_all(config.as_deref(), quick, json.as_deref(), trace.as_deref(), bounds.bounds())
         }
-        Command::Seeded { name, json, traces, bounds } => {
+        Command::Seeded { rights: true, name, bounds, .. } => rights(name.as_deref(), bounds.bounds()),
+        Command::Seeded { name, json, traces, bounds, .. } => {
             seeded(name.as_deref(), json.as_deref(), traces.as_deref(), bounds.bounds())
         }
-        Command::Rights { bug, bounds } => rights(bug, bounds.bounds()),
         Command::Walk { config, seed, steps, histories, trace } => {
             walks(&config, seed, steps, histories, trace.as_deref())
         }
@@ -314,25 +312,31 @@
 /// Which bugs in the machine of shared limits are found, and by how long a history. Each is looked for by a process of
 /// its own, which gives all its memory back.
 #[cfg(feature = "seeded")]
-fn rights(bug: Option<usize>, bounds: Bounds) -> Result<u8, Failure> {
+fn rights(name: Option<&str>, bounds: Bounds) -> Result<u8, Failure> {
     use tulipbridge_quota::seeded::{seed, ALL};
-    let Some(bug) = bug else {
-        let program =
-            std::env::current_exe().map_err(|source| Failure::Write { path: "itself".into(), source })?;
+    let Some(name) = name else {
+        let program = std::env::current_exe().map_err(Failure::Itself)?;
         let mut found = 0;
-        for number in 0..ALL.len() {
+        for bug in ALL {
             let mut again = std::process::Command::new(&program);
-            let ended = again.args(["rights", "--bug", &number.to_string()]).status();
-            found += usize::from(ended.is_ok_and(|status| status.code() == Some(i32::from(BROKEN))));
+            again.args(["seeded", "--rights", "--name", &format!("{bug:?}")]);
+            again.args([
+                "--threads",
+                &bounds.threads.to_string(),
+                "--memory-mb",
+                &bounds.memory_mb.to_string(),
+            ]);
+            let ended = again.args(["--seconds", &bounds.time.as_secs().to_string()]).status();
+            found += usize::from(ended.map_err(Failure::Itself)?.code() == Some(i32::from(BROKEN)));
         }
         say!("{found} of {} seeded bugs found", ALL.len());
         return Ok(0);
     };
-    let bug = *ALL.get(bug).ok_or_else(|| Failure::Bug(bug.to_string()))?;
+    let bug = ALL.into_iter().find(|bug| format!("{bug:?}") == name);
+    let bug = bug.ok_or_else(|| Failure::Bug(name.to_owned()))?;
     seed(Some(bug));
     let worlds = configs::all().into_iter().filter(|c| matches!(c, Config::Rights(_)));
-    let found =
-        worlds.map(|world| search(world, bounds)).find_map(|report| Some((report.config, report.broken?)));
+    let found = worlds.map(|world| search(world, bounds)).find_map(|r| Some((r.config, r.broken?)));
     match &found {
         Some((config, trace)) => say!("{bug:?}: found in {config}, {} steps", trace.steps.len()),
         None => say!("{bug:?}: not found"),
@@ -341,7 +345,7 @@
 }
 
 #[cfg(not(feature = "seeded"))]
-fn rights(_: Option<usize>, _: Bounds) -> Result<u8, Failure> {
+fn rights(_: Option<&str>, _: Bounds) -> Result<u8, Failure> {
     Err(Failure::NotSeeded)
 }
 
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -370,7 +370,7 @@
     use tulipbridge_quota::seeded::{seed, Bug, ALL};
     // One needs an order of events that hardly any schedule has; the checker finds it.
     let all: Vec<Bug> = ALL.into_iter().filter(|bug| *bug != Bug::ShorterLoanMissed).collect();
-    println!("left to tulipbridge-check rights: {:?}", Bug::ShorterLoanMissed);
+    println!("left to tulipbridge-check seeded --rights: {:?}", Bug::ShorterLoanMissed);
     let mut found = Vec::new();
     for bug in all.iter().copied() {
         seed(Some(bug));
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -89,8 +89,6 @@
     cut: Cell<bool>,
     /// Where the front at the far end hears, once it runs.
     far: Cell<Option<SocketAddr>>,
-    passed: Cell<u64>,
-    bytes: Cell<u64>,
 }
 
 /// A front's process.
@@ -99,7 +97,6 @@
     clients: SocketAddr,
     console: SocketAddr,
     stopped: bool,
-    log: mpsc::Receiver<String>,
 }
 
 /// What a lab is made of.
@@ -133,12 +130,45 @@
     pub at: Duration,
 }
 
-/// What is done at one moment of a schedule.
+/// What is done at one moment.
 enum Act {
-    Strike(Fault),
+    Cut(usize, usize),
+    Split(Vec<usize>),
+    Weather(Weather),
+    Load(usize, u32),
     Signal(usize, Signal),
     End(usize, Signal),
     Start(usize),
+    StartTwin(usize),
+    /// The twin that has run for the longest.
+    EndTwin,
+}
+
+/// What is done for a fault, each so many milliseconds after the one before.
+fn acts(fault: &Fault) -> Vec<(u64, Act)> {
+    match fault {
+        Fault::Cut { from, to } => vec![(0, Act::Cut(*from, *to))],
+        Fault::Split { side } => vec![(0, Act::Split(side.clone()))],
+        Fault::Heal => vec![(0, Act::Split(Vec::new()))],
+        Fault::Weather { lost, repeated, late } => {
+            vec![(0, Act::Weather(Weather { lost: *lost, repeated: *repeated, late: *late }))]
+        }
+        Fault::Load { front, rate } => vec![(0, Act::Load(*front, *rate))],
+        Fault::Stop { front, millis } => {
+            let signal = |signal| Act::Signal(*front, signal);
+            vec![(0, signal(Signal::SIGSTOP)), (*millis, signal(Signal::SIGCONT))]
+        }
+        Fault::Kill { front, back } => {
+            let back = back.iter().map(|back| (*back, Act::Start(*front)));
+            [(0, Act::End(*front, Signal::SIGKILL))].into_iter().chain(back).collect()
+        }
+        Fault::Leave { front, back } => {
+            vec![(0, Act::End(*front, Signal::SIGTERM)), (*back, Act::Start(*front))]
+        }
+        Fault::Twin { front, millis } => vec![(0, Act::StartTwin(*front)), (*millis, Act::EndTwin)],
+        // Rosters are files of the fronts'; the simulation plays their changes.
+        Fault::Roster { .. } => Vec::new(),
+    }
 }
 
 /// A lab with its fronts.
@@ -153,11 +183,11 @@
     doors: BTreeMap<(usize, usize), SocketAddr>,
     weather: Rc<Cell<Weather>>,
     fronts: Vec<Rc<RefCell<Option<Front>>>>,
-    twins: Vec<Child>,
+    /// Second processes of a name, the one that has run for the longest first, and what they say.
+    twins: Vec<(Child, mpsc::Receiver<String>)>,
     twin_log: String,
     rates: Vec<Rc<Cell<u32>>>,
     sent: Rc<RefCell<Vec<Sent>>>,
-    asked: Rc<Cell<u64>>,
     began: Instant,
     tasks: Vec<JoinHandle<()>>,
     lot: fastrand::Rng,
@@ -194,7 +224,6 @@
             }
         }
         let rates: Vec<Rc<Cell<u32>>> = (0..count).map(|_| Rc::default()).collect();
-        let asked: Rc<Cell<u64>> = Rc::default();
         let fronts: Vec<Rc<RefCell<Option<Front>>>> = (0..count).map(|_| Rc::default()).collect();
         let lot = fastrand::Rng::with_seed(seed);
         let mut lab = Lab {
@@ -211,7 +240,6 @@
             twin_log: String::new(),
             rates,
             sent,
-            asked,
             began,
             tasks,
             lot,
@@ -220,7 +248,7 @@
             lab.start(front).await?;
             let (rate, front) = (Rc::clone(&lab.rates[front]), Rc::clone(&lab.fronts[front]));
             let lot = fastrand::Rng::with_seed(lab.lot.u64(..));
-            lab.tasks.push(spawn_local(load(rate, front, Rc::clone(&lab.asked), make.volumes, lot)));
+            lab.tasks.push(spawn_local(load(rate, front, make.volumes, lot)));
         }
         Ok(lab)
     }
@@ -295,12 +323,10 @@
                 }
             }
         }
-        for ((_, to), link) in self.links.iter().filter(|((_, to), _)| *to == front) {
-            debug_assert_eq!(*to, front);
-            link.far.set(peers);
-        }
+        let to_it = self.links.iter().filter(|((_, to), _)| *to == front);
+        to_it.for_each(|(_, link)| link.far.set(peers));
         if let (Some(clients), Some(console)) = (clients, console) {
-            *self.fronts[front].borrow_mut() = Some(Front { child, clients, console, stopped: false, log });
+            *self.fronts[front].borrow_mut() = Some(Front { child, clients, console, stopped: false });
         }
         Ok(())
     }
@@ -334,26 +360,11 @@
         self.began.elapsed()
     }
 
-    /// Reads that were asked for so far, over all fronts.
-    pub fn asked(&self) -> u64 {
-        self.asked.get()
-    }
-
     /// All that reached the chunk server.
     pub fn sent(&self) -> Vec<Sent> {
         self.sent.borrow().clone()
     }
 
-    /// Datagrams that went over links so far, and their bytes.
-    pub fn traffic(&self) -> (u64, u64) {
-        self.links.values().fold((0, 0), |(n, b), l| (n + l.passed.get(), b + l.bytes.get()))
-    }
-
-    /// What a front has said in its log since this was last asked.
-    pub fn log(&self, front: usize) -> Vec<String> {
-        self.fronts[front].borrow().as_ref().map_or_else(Vec::new, |f| f.log.try_iter().collect())
-    }
-
     /// Where a front's clients connect.
     pub fn clients(&self, front: usize) -> Option<SocketAddr> {
         self.fronts[front].borrow().as_ref().map(|f| f.clients)
@@ -366,20 +377,22 @@
 
     /// What a front says of its peers, as JSON.
     pub async fn peers(&self, front: usize) -> Option<String> {
-        let mut stream = TcpStream::connect(self.console(front)?).await.ok()?;
-        stream.write_all(b"GET /status/peers HTTP/1.1\r\nHost: lab\r\n\r\n").await.ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).await.ok()?;
-        answer.split_once("\r\n\r\n").map(|(_, body)| body.to_owned())
+        self.get(front, "/status/peers").await
     }
 
     /// The figures of a front, as its console shows them.
     pub async fn metrics(&self, front: usize) -> Option<String> {
+        self.get(front, "/status/metrics").await
+    }
+
+    /// The body of what a front's console answers.
+    async fn get(&self, front: usize, path: &str) -> Option<String> {
         let mut stream = TcpStream::connect(self.console(front)?).await.ok()?;
-        stream.write_all(b"GET /status/metrics HTTP/1.1\r\nHost: lab\r\n\r\n").await.ok()?;
+        let asked = format!("GET {path} HTTP/1.1\r\nHost: lab\r\n\r\n");
+        stream.write_all(asked.as_bytes()).await.ok()?;
         let mut answer = String::new();
         stream.read_to_string(&mut answer).await.ok()?;
-        Some(answer)
+        answer.split_once("\r\n\r\n").map(|(_, body)| body.to_owned())
     }
 
     /// What second processes of a name have said.
@@ -414,57 +427,15 @@
         true
     }
 
-    /// Does what a fault says, and waits until it is done: also until a stopped front has gone on, or a killed one
-    /// is back, where the fault says when.
+    /// Does what a fault says, and waits until it is over: also until a stopped front has gone on, or a killed one is
+    /// back, where the fault says when.
     ///
     /// # Errors
     /// Where a front does not start again.
     pub async fn strike(&mut self, fault: &Fault) -> Result<(), LabError> {
-        match fault {
-            Fault::Cut { from, to } => {
-                self.links.get(&(*from, *to)).into_iter().for_each(|l| l.cut.set(true))
-            }
-            Fault::Split { side } => {
-                for ((from, to), link) in &self.links {
-                    link.cut.set(side.contains(from) != side.contains(to));
-                }
-            }
-            Fault::Heal => self.links.values().for_each(|l| l.cut.set(false)),
-            Fault::Weather { lost, repeated, late } => {
-                self.weather.set(Weather { lost: *lost, repeated: *repeated, late: *late });
-            }
-            Fault::Stop { front, millis } => {
-                self.signal(*front, Signal::SIGSTOP);
-                tokio::time::sleep(Duration::from_millis(*millis)).await;
-                self.signal(*front, Signal::SIGCONT);
-            }
-            Fault::Kill { front, back } => {
-                self.end(*front, Signal::SIGKILL).await;
-                if let Some(back) = back {
-                    tokio::time::sleep(Duration::from_millis(*back)).await;
-                    self.start(*front).await?;
-                }
-            }
-            Fault::Leave { front, back } => {
-                self.end(*front, Signal::SIGTERM).await;
-                tokio::time::sleep(Duration::from_millis(*back)).await;
-                self.start(*front).await?;
-            }
-            Fault::Twin { front, millis } => {
-                let (child, log) = self.spawn(*front, true)?;
-                self.twins.push(child);
-                tokio::time::sleep(Duration::from_millis(*millis)).await;
-                for line in log.try_iter() {
-                    self.twin_log += &(line + "\n");
-                }
-                if let Some(mut twin) = self.twins.pop() {
-                    let _ = twin.kill();
-                    let _ = twin.wait();
-                }
-            }
-            Fault::Load { front, rate } => self.load(*front, *rate),
-            // Rosters are files of the fronts'; the simulation plays their changes.
-            Fault::Roster { .. } => {}
+        for (after, act) in acts(fault) {
+            tokio::time::sleep(Duration::from_millis(after)).await;
+            self.act(act).await?;
         }
         Ok(())
     }
@@ -475,43 +446,54 @@
     /// Where a front does not start again.
     pub async fn play(&mut self, schedule: &Schedule) -> Result<(), LabError> {
         let began = Instant::now();
-        let mut due: BTreeMap<(u64, usize), Act> = BTreeMap::new();
-        let add = |due: &mut BTreeMap<(u64, usize), Act>, at: u64, act: Act| {
-            due.insert((at, due.len()), act);
-        };
+        let mut due: Vec<(u64, Act)> = Vec::new();
         for Step { at, fault } in &schedule.steps {
-            let at = *at;
-            match fault {
-                Fault::Stop { front, millis } => {
-                    add(&mut due, at, Act::Signal(*front, Signal::SIGSTOP));
-                    add(&mut due, at + millis, Act::Signal(*front, Signal::SIGCONT));
-                }
-                Fault::Kill { front, back } => {
-                    add(&mut due, at, Act::End(*front, Signal::SIGKILL));
-                    back.iter().for_each(|back| add(&mut due, at + back, Act::Start(*front)));
-                }
-                Fault::Leave { front, back } => {
-                    add(&mut due, at, Act::End(*front, Signal::SIGTERM));
-                    add(&mut due, at + back, Act::Start(*front));
-                }
-                fault => add(&mut due, at, Act::Strike(fault.clone())),
+            let mut at = *at;
+            for (after, act) in acts(fault) {
+                at += after;
+                due.push((at, act));
             }
         }
-        for ((at, _), act) in due.into_iter().filter(|((at, _), _)| *at <= schedule.millis) {
+        due.sort_by_key(|(at, _)| *at);
+        for (at, act) in due.into_iter().filter(|(at, _)| *at <= schedule.millis) {
             tokio::time::sleep_until((began + Duration::from_millis(at)).into()).await;
-            match act {
-                Act::Strike(fault) => self.strike(&fault).await?,
-                Act::Signal(front, signal) => self.signal(front, signal),
-                Act::End(front, signal) => {
-                    // One that stands still would not end in order.
-                    self.signal(front, Signal::SIGCONT);
-                    self.end(front, signal).await;
+            self.act(act).await?;
+        }
+        tokio::time::sleep_until((began + Duration::from_millis(schedule.millis)).into()).await;
+        Ok(())
+    }
+
+    async fn act(&mut self, act: Act) -> Result<(), LabError> {
+        match act {
+            Act::Cut(from, to) => self.links.get(&(from, to)).into_iter().for_each(|l| l.cut.set(true)),
+            Act::Split(side) => {
+                for ((from, to), link) in &self.links {
+                    link.cut.set(side.contains(from) != side.contains(to));
+                }
+            }
+            Act::Weather(weather) => self.weather.set(weather),
+            Act::Load(front, rate) => self.load(front, rate),
+            Act::Signal(front, signal) => self.signal(front, signal),
+            Act::End(front, signal) => {
+                // One that stands still would not end in order.
+                self.signal(front, Signal::SIGCONT);
+                self.end(front, signal).await;
+            }
+            Act::Start(front) if self.fronts[front].borrow().is_none() => self.start(front).await?,
+            Act::Start(_) => {}
+            Act::StartTwin(front) => {
+                let twin = self.spawn(front, true)?;
+                self.twins.push(twin);
+            }
+            Act::EndTwin => {
+                if !self.twins.is_empty() {
+                    let (mut child, log) = self.twins.remove(0);
+                    log.try_iter().for_each(|line| self.twin_log += &(line + "\n"));
+                    let _ = child.kill();
+                    let _ = child.wait();
                 }
-                Act::Start(front) if self.fronts[front].borrow().is_none() => self.start(front).await?,
-                Act::Start(_) => {}
             }
         }
-        tokio::time::sleep_until((began + Duration::from_millis(schedule.millis)).into()).await;
         Ok(())
     }
 
@@ -546,7 +528,7 @@
             task.abort();
         }
         let fronts = self.fronts.iter().filter_map(|f| f.borrow_mut().take().map(|f| f.child));
-        for mut child in fronts.chain(self.twins.drain(..)) {
+        for mut child in fronts.chain(self.twins.drain(..).map(|(child, _)| child)) {
             let _ = child.kill();
             let _ = child.wait();
         }
@@ -595,8 +577,6 @@
             if fastrand::u8(0..100) < now.lost {
                 continue;
             }
-            link.passed.set(link.passed.get() + 1);
-            link.bytes.set(link.bytes.get() + length as u64);
             if now.late == 0 {
                 let _ = socket.try_send_to(&bytes[..length], to);
                 continue;
@@ -616,7 +596,6 @@
 async fn load(
     rate: Rc<Cell<u32>>,
     front: Rc<RefCell<Option<Front>>>,
-    asked: Rc<Cell<u64>>,
     volumes: usize,
     mut lot: fastrand::Rng,
 ) {
@@ -630,7 +609,6 @@
         tokio::time::sleep(Duration::from_secs_f64(wait)).await;
         let at = front.borrow().as_ref().filter(|f| !f.stopped).map(|f| f.clients);
         let Some(at) = at else { continue };
-        asked.set(asked.get() + 1);
         let volume = lot.usize(0..volumes);
         spawn_local(async move {
             let read = async {
--- a/src/config.rs
+++ b/src/config.rs
@@ -7,7 +7,7 @@
 use simd_json::OwnedValue as Value;
 use tulipbridge_core::Settings;
 
-use crate::peers::Peers;
+use crate::peers;
 use crate::settings::{names, num, settings, text, Res};
 
 /// The largest configuration file that is read; a larger one is turned down.
@@ -24,7 +24,7 @@
     /// Where discovery is; without it the list as last held is all there is.
     pub discovery: Option<SocketAddr>,
     /// The front's peers, where the operators name any.
-    pub peers: Option<Peers>,
+    pub peers: Option<peers::Config>,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -115,7 +115,7 @@
         let name = variable("BALANCER_NAME")
             .or_else(|| value.get("name").and_then(|n| n.as_str()).map(str::to_owned));
         let name = name.unwrap_or_else(|| "front".to_owned());
-        let peers = value.get("peers").map(|peers| Peers::read(peers, &name));
+        let peers = value.get("peers").map(|peers| peers::Config::read(peers, &name));
         Ok(Config {
             peers: peers.transpose().map_err(|why| at_line(&told, why))?,
             name,
--- a/src/console.rs
+++ b/src/console.rs
@@ -29,7 +29,7 @@
 use crate::figures::{Figures, Reading};
 use crate::log::log;
 use crate::maintenance::Maintenance;
-use crate::peers::Fleet;
+use crate::peers::Peers;
 use crate::upstream::Upstream;
 
 /// A whole call, from connecting to the last byte of its answer, within this, or the connection is closed.
@@ -52,7 +52,7 @@
     /// Chunk servers out by hand.
     pub maintenance: Rc<Maintenance>,
     /// The front's peers, where it has any.
-    pub fleet: Option<Rc<Fleet>>,
+    pub peers: Option<Rc<Peers>>,
     held: RefCell<VecDeque<(u64, Rc<Notify>)>>,
     next: Cell<u64>,
 }
@@ -65,10 +65,10 @@
         figures: Rc<Figures>,
         exchange: Rc<Exchange<Upstream>>,
         maintenance: Rc<Maintenance>,
-        fleet: Option<Rc<Fleet>>,
+        peers: Option<Rc<Peers>>,
     ) -> Rc<Console> {
         let (held, next) = (RefCell::default(), Cell::new(0));
-        Rc::new(Console { taking, current, figures, exchange, maintenance, fleet, held, next })
+        Rc::new(Console { taking, current, figures, exchange, maintenance, peers, held, next })
     }
 
     /// Serves for as long as the program runs.
@@ -134,9 +134,9 @@
                 );
                 reply
             }
-            (&Method::GET, None) if path == "/status/peers" => match &self.fleet {
-                Some(fleet) => {
-                    let mut reply = plain(StatusCode::OK, fleet.status().encode().into());
+            (&Method::GET, None) if path == "/status/peers" => match &self.peers {
+                Some(peers) => {
+                    let mut reply = plain(StatusCode::OK, peers.status().encode().into());
                     let json = HeaderValue::from_static("application/json");
                     reply.headers_mut().insert(CONTENT_TYPE, json);
                     reply
--- a/src/front.rs
+++ b/src/front.rs
@@ -19,7 +19,7 @@
 use crate::listener::{listen, Listener, Room, Standing};
 use crate::log::log;
 use crate::maintenance::Maintenance;
-use crate::peers::Fleet;
+use crate::peers::Peers;
 use crate::retune::Retune;
 use crate::server::{Names, Server};
 use crate::settings::Res;
@@ -64,12 +64,12 @@
         figures: Rc::clone(&parts.figures),
         discovery: moved,
         told: config.told,
-        fleet: parts.fleet.clone(),
+        peers: parts.peers.clone(),
     };
     spawn_local(retune.follow(hangup, Config::reread));
     let server = Server::new(Rc::clone(&parts.exchange), names);
     Listener::new(server, parts.places, parts.standing).serve(listener, stop).await;
-    parts.fleet.iter().for_each(|fleet| fleet.leave());
+    parts.peers.iter().for_each(|peers| peers.leave());
     Ok(())
 }
 
@@ -84,7 +84,7 @@
     /// What the listener tells of itself.
     pub standing: Standing,
     /// The front's peers, where it has any.
-    pub fleet: Option<Rc<Fleet>>,
+    pub peers: Option<Rc<Peers>>,
     /// How many connections the client side may hold.
     pub places: usize,
 }
@@ -120,14 +120,14 @@
     // Bodies of requests are held whole until they are answered, in a part of memory.
     let standing = Standing { room: Some(Room::new(config.memory / BODIES)), ..Standing::default() };
     let figures = Rc::new(Figures::new());
-    let fleet = config.peers.clone().map(|peers| Fleet::join(peers, &exchange, &figures)).transpose()?;
+    let peers = config.peers.clone().map(|told| Peers::join(told, &exchange, &figures)).transpose()?;
     if let Some(at) = config.console {
         let listener = console::listen(at)?;
         let (taking, current) = (Rc::clone(&standing.taking), Rc::clone(&standing.current));
         let parts = (Rc::clone(&figures), Rc::clone(&exchange), Rc::clone(&maintenance));
-        spawn_local(Console::new(taking, current, parts.0, parts.1, parts.2, fleet.clone()).serve(listener));
+        spawn_local(Console::new(taking, current, parts.0, parts.1, parts.2, peers.clone()).serve(listener));
     }
-    Ok(Parts { exchange, maintenance, figures, standing, fleet, places: both - servers })
+    Ok(Parts { exchange, maintenance, figures, standing, peers, places: both - servers })
 }
 
 /// Where discovery is: as told at the start, and after each SIGHUP as `read` finds it in the new file. A file
--- a/src/object/mod.rs
+++ b/src/object/mod.rs
@@ -28,7 +28,7 @@
 use crate::exchange::{Exchange, Final};
 use crate::front::{assemble, on_one_thread, reload, stop};
 use crate::listener::{listen, plain, Handler, Listener, Reply, Taken};
-use crate::peers::Fleet;
+use crate::peers::Peers;
 use crate::settings::Res;
 use crate::upstream::{Accepts, Answer, Payload, Upstream, MOST_BODY};
 
@@ -57,22 +57,22 @@
     on_one_thread(async move {
         let stop = stop()?;
         let file = file.to_owned();
-        let fleet: Rc<RefCell<Option<Rc<Fleet>>>> = Rc::default();
-        let joined = Rc::clone(&fleet);
+        let peers: Rc<RefCell<Option<Rc<Peers>>>> = Rc::default();
+        let joined = Rc::clone(&peers);
         let moved = reload(config.base.discovery, move || {
             let base = Config::from_file(&file)?.base;
-            if let Some(fleet) = &*joined.borrow() {
-                fleet.check(base.peers.as_ref())?;
-                base.peers.into_iter().for_each(|peers| fleet.retune(peers));
+            if let Some(joined) = &*joined.borrow() {
+                joined.check(base.peers.as_ref())?;
+                base.peers.into_iter().for_each(|told| joined.retune(told));
             }
             Ok(base.discovery)
         })?;
         let listener = listen(config.base.listen).await?;
         let parts = assemble(&config.base, moved)?;
-        fleet.borrow_mut().clone_from(&parts.fleet);
+        peers.borrow_mut().clone_from(&parts.peers);
         let front = ObjectFront::new(parts.exchange, config);
         Listener::new(front, parts.places, parts.standing).serve(listener, stop).await;
-        parts.fleet.iter().for_each(|fleet| fleet.leave());
+        parts.peers.iter().for_each(|peers| peers.leave());
         Ok(())
     })
 }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -33,7 +33,7 @@
 
 /// What the operators' file says of the front's peers.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Peers {
+pub struct Config {
     /// Where this front hears its peers.
     pub listen: SocketAddr,
     /// The file of the key that all share.
@@ -44,12 +44,12 @@
     pub terms: Terms,
 }
 
-impl Peers {
+impl Config {
     /// Reads `peers` of a front's file, for the front of this name.
     ///
     /// # Errors
     /// A plain sentence that names the path of what is wrong.
-    pub fn read(value: &Value, name: &str) -> Res<Peers> {
+    pub fn read(value: &Value, name: &str) -> Res<Config> {
         let object = value.as_object().ok_or("'peers' must be an object")?;
         let known = ["listen", "key_file", "roster", "revision", "life_ms", "beat_ms", "floor"];
         if let Some(other) = object.keys().find(|k| !known.contains(&k.as_str())) {
@@ -97,7 +97,7 @@
         let whole = format!("{}|{}|{}|{:?}", terms.revision, terms.life, terms.floor, names);
         terms.roster = Seal::digest(&whole);
         terms.check().map_err(|why| format!("'peers': {why}"))?;
-        Ok(Peers {
+        Ok(Config {
             listen: address(value.get("listen"), "peers.listen")?,
             key_file: PathBuf::from(text(value.get("key_file"), "peers.key_file")?),
             roster,
@@ -153,11 +153,11 @@
 }
 
 /// This front among its peers.
-pub struct Fleet {
+pub struct Peers {
     quota: RefCell<Quota>,
     seal: Seal,
     socket: UdpSocket,
-    told: RefCell<Peers>,
+    told: RefCell<Config>,
     shares: RefCell<Shares>,
     exchange: Rc<Exchange<Upstream>>,
     counts: Counts,
@@ -178,12 +178,12 @@
     Seal::new(&bytes).map_err(|why| format!("'peers.key_file': {}: {why}", file.display()))
 }
 
-impl Fleet {
+impl Peers {
     /// Joins the peers, and has the module told from now on what it may use.
     ///
     /// # Errors
     /// A plain sentence, where the socket or the key cannot be had.
-    pub fn join(told: Peers, exchange: &Rc<Exchange<Upstream>>, figures: &Figures) -> Res<Rc<Fleet>> {
+    pub fn join(told: Config, exchange: &Rc<Exchange<Upstream>>, figures: &Figures) -> Res<Rc<Peers>> {
         let seal = key(&told.key_file)?;
         let wrong = |e: std::io::Error| format!("'peers.listen': cannot listen on {}: {e}", told.listen);
         let socket = std::net::UdpSocket::bind(told.listen).map_err(wrong)?;
@@ -208,7 +208,7 @@
         for gauge in [&counts.alive, &counts.banks, &counts.standing_back] {
             figures.add(gauge.clone());
         }
-        let fleet = Rc::new(Fleet {
+        let peers = Rc::new(Peers {
             said: RefCell::new(vec![Belief::Unheard; told.roster.len()]),
             quota: RefCell::new(quota),
             seal,
@@ -219,17 +219,17 @@
             counts,
             stood_back: Cell::new(false),
         });
-        exchange.share(Rc::clone(&fleet) as Rc<dyn Rights>);
-        spawn_local(Rc::clone(&fleet).hear());
-        spawn_local(Rc::clone(&fleet).beat());
-        Ok(fleet)
+        exchange.share(Rc::clone(&peers) as Rc<dyn Rights>);
+        spawn_local(Rc::clone(&peers).hear());
+        spawn_local(Rc::clone(&peers).beat());
+        Ok(peers)
     }
 
     /// Whether what a new file says of the peers can be taken.
     ///
     /// # Errors
     /// Where it says what only a restart can change.
-    pub fn check(&self, told: Option<&Peers>) -> Res<()> {
+    pub fn check(&self, told: Option<&Config>) -> Res<()> {
         let told = told.ok_or("'peers' cannot be left out while the front runs; restart it")?;
         let held = self.told.borrow();
         if held.listen != told.listen || held.key_file != told.key_file {
@@ -238,8 +238,8 @@
         Ok(())
     }
 
-    /// Takes what a new file says of the peers, which [`Fleet::check`] has found right.
-    pub fn retune(&self, told: Peers) {
+    /// Takes what a new file says of the peers, which [`Peers::check`] has found right.
+    pub fn retune(&self, told: Config) {
         let terms = told.terms.clone();
         *self.said.borrow_mut() = vec![Belief::Unheard; told.roster.len()];
         *self.told.borrow_mut() = told;
@@ -425,7 +425,7 @@
     }
 }
 
-impl Rights for Fleet {
+impl Rights for Peers {
     fn before(&self, input: &Input, set: &Settings) -> Vec<Input> {
         let mut effects = Vec::new();
         let now = now();
@@ -462,8 +462,8 @@
 mod tests {
     use super::*;
 
-    fn read(text: &str) -> Res<Peers> {
-        Peers::read(&simd_json::to_owned_value(&mut text.as_bytes().to_vec()).expect("JSON"), "b")
+    fn read(text: &str) -> Res<Config> {
+        Config::read(&simd_json::to_owned_value(&mut text.as_bytes().to_vec()).expect("JSON"), "b")
     }
 
     const FINE: &str = r#"{"listen": "127.0.0.1:1", "key_file": "k",
--- a/src/retune.rs
+++ b/src/retune.rs
@@ -15,7 +15,7 @@
 use crate::exchange::Exchange;
 use crate::figures::Figures;
 use crate::log::log;
-use crate::peers::Fleet;
+use crate::peers::Peers;
 use crate::server::Names;
 use crate::settings::Res;
 use crate::upstream::Upstream;
@@ -31,7 +31,7 @@
     /// Where discovery is.
     pub discovery: watch::Sender<Option<SocketAddr>>,
     /// The front's peers, where it has any.
-    pub fleet: Option<Rc<Fleet>>,
+    pub peers: Option<Rc<Peers>>,
     /// The settings last taken, as they came.
     pub told: Value,
 }
@@ -57,16 +57,16 @@
         if let Some(path) = missing(&self.told, &config.told, "settings") {
             return Err(format!("'{path}' is missing"));
         }
-        if let Some(fleet) = &self.fleet {
-            fleet.check(config.peers.as_ref())?;
+        if let Some(peers) = &self.peers {
+            peers.check(config.peers.as_ref())?;
         }
-        let peers = config.peers.clone();
+        let told_peers = config.peers.clone();
         let (told, discovery) = (config.told.clone(), config.discovery);
         let mut names = self.names.borrow().clone();
         let (settings, carried) = names.retune(config, &self.figures);
         self.exchange.retune(settings, &carried).map_err(|e| e.to_string())?;
-        if let (Some(fleet), Some(peers)) = (&self.fleet, peers) {
-            fleet.retune(peers);
+        if let (Some(peers), Some(told)) = (&self.peers, told_peers) {
+            peers.retune(told);
         }
         *self.names.borrow_mut() = names;
         self.told = told;
