Call discovery again in time whatever its silence and failed calls; read indented lists

A change counts as told 6 s after discovery had it and could be reached. Lines at fault: SILENT = 4.5 s in src/discovery.rs, then the pause of policy.rs on_fleet (7.5 s times 0.5 to 1.5, at most 7 s, where there are 300 fronts), then a dial and up to 4.5 s for an answer: 16 s. Ruled out: the grace of drains in the module (no request is placed at a server once its list says so; the checker holds that).

The sum is now a machine's, without I/O (crates/core/src/watch.rs): 2.5 s of silence, a call within 1 s more, 2.1 s for its answer: 5.6 s at most. The module's pauses may call earlier. A part of a message no longer counts as a sign of life; messages end where their JSON does, so lists may be indented; versions of the old discovery are not told to a new one; where lists are pushed the first call goes out at once. The checker plays the watch with discovery that is down, late, silent and moved, in every order: two configurations, three seeded bugs.

--- a/crates/checker/src/cli.rs
+++ b/crates/checker/src/cli.rs
@@ -395,7 +395,11 @@
         // Bugs of the machines of limits are another list: `rights`.
         worlds.retain(|c| !matches!(c, Config::Rights(_)));
         // Where the bug is, it is found soonest.
-        worlds.sort_by_key(|c| matches!(c, Config::Entrance(_)) != (*part == Part::Door));
+        worlds.sort_by_key(|c| match c {
+            Config::Entrance(_) => *part != Part::Door,
+            Config::Register(_) => *part != Part::Watch,
+            _ => *part != Part::Front,
+        });
         for world in worlds {
             // One thread: the first history found is then a shortest one.
             let report = search(world.clone(), Bounds { threads: NonZeroUsize::MIN, ..bounds });
--- a/crates/checker/src/configs.rs
+++ b/crates/checker/src/configs.rs
@@ -4,6 +4,7 @@
 
 use crate::entrance::Entrance;
 use crate::explore::{Card, Explored};
+use crate::register::Register;
 use crate::rights::Rights;
 use crate::world::{Ask, Mode, News, Trouble, World, MS};
 
@@ -111,6 +112,8 @@
     Entrance(Entrance),
     /// Limits shared by a few fronts.
     Rights(Rights),
+    /// The watch on discovery.
+    Register(Register),
 }
 
 /// Does the same with a configuration of either world.
@@ -121,6 +124,7 @@
             $crate::configs::Config::Front($world) => $body,
             $crate::configs::Config::Entrance($world) => $body,
             $crate::configs::Config::Rights($world) => $body,
+            $crate::configs::Config::Register($world) => $body,
         }
     };
 }
@@ -136,10 +140,20 @@
 pub fn all() -> Vec<Config> {
     let mut all = entrances();
     all.extend(rights().into_iter().map(Config::Rights));
+    all.extend(registers().into_iter().map(Config::Register));
     all.extend(fronts().into_iter().map(Config::Front));
     all
 }
 
+fn registers() -> Vec<Register> {
+    let register =
+        |name, about, phase, troubles| Register { name, about, phase, steps: 60, troubles, quick: true };
+    vec![
+        register("watch-early", "the watch on discovery, a front that calls first, two troubles", 0.0, 2),
+        register("watch-late", "the watch on discovery, a front that calls last, two troubles", 1.0, 2),
+    ]
+}
+
 fn rights() -> Vec<Rights> {
     let rights = |name, about, fronts, rounds, troubles, quick| Rights {
         name,
--- a/crates/checker/src/lib.rs
+++ b/crates/checker/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod explore;
 pub mod judge;
 pub mod properties;
+pub mod register;
 pub mod rights;
 pub mod trace;
 pub mod world;
--- a/crates/checker/src/properties.rs
+++ b/crates/checker/src/properties.rs
@@ -52,13 +52,13 @@
     resent, "nothing-resent", "13.2",
         "An attempt of which a byte was written is written to no second connection.";
     work_to_leaving_node, "no-work-to-leaving-node", "13.3",
-        "Nothing is sent to a node told to be draining or gone; what was dialling begins within the grace.";
+        "Nothing is sent to a node told to be draining or gone, and nothing that was dialling to it begins.";
     node_forgotten_in_use, "no-number-reused", "13.3",
         "A node is forgotten only when nothing is out to it; afterwards nothing is sent to it and no connection kept.";
     too_many_attempts, "attempts-within-limits", "13.2",
         "A request has no more attempts than allowed, and no second one out where there are no copies.";
     sent_for_nobody, "no-work-for-nobody", "13.1",
-        "Nothing is sent for a request that is answered or whose client has left.";
+        "Nothing is sent, and nothing that was dialling begins, for a request that is answered or whose client has left.";
     foreign_answer, "answer-belongs", "13.1",
         "A client gets only what a node answered to its own request.";
     too_many_connections, "connections-capped", "limits",
@@ -78,15 +78,17 @@
     open_request_cut, "open-request-kept", "13.1",
         "No connection is closed by the front while a request on it is being answered.";
     closed_across_request, "no-close-across-request", "PROTOCOL",
-        "No idle connection is closed on which a request has come, unless the front is leaving.";
+        "No connection is shut on which a request has come, and a front that leaves shuts none on which one has begun.";
     stranger_kept, "strangers-end", "LATER",
         "Who sends no whole request in its time is closed; a body does not begin that time anew.";
     left_with_open_request, "taken-answered-before-exit", "13.1",
-        "After SIGTERM the front ends only once nothing is open, or when its time is up.";
+        "After SIGTERM the front ends only once no request is open or has begun to come, or when its time is up.";
     leaves_too_late, "leaves-in-time", "PROTOCOL",
         "After SIGTERM the front ends in its time, whatever clients do.";
     does_not_recover, "returns-to-health", "house",
         "From every state at rest, 8 s of good answers later, each read of a warm node goes out at once.";
+    told_too_late, "news-in-time", "STANDING",
+        "Where discovery can be reached, a front has a watch that works before what it misses counts as told.";
     over_the_limit, "limit-holds-for-all", "house",
         "What all fronts together may use of a shared limit is never more than the limit.";
     panicked, "never-panics", "house",
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,6 +44,7 @@
 mod standing;
 mod state;
 pub mod tune;
+pub mod watch;
 
 pub use interface::*;
 pub use state::{Rate, Scheduler};
--- a/crates/core/src/seeded.rs
+++ b/crates/core/src/seeded.rs
@@ -104,6 +104,20 @@
     NoCapAtDoor,
     /// The front ends while requests are open.
     LeavesOpenRequests,
+    /// A client that goes, or an answer, withdraws no attempt that has not begun.
+    LeftAttemptGoesOut,
+    /// A node that is told to be leaving gets what was dialling.
+    DrainMissesDialling,
+    /// A request that was withdrawn is written all the same.
+    WithdrawnIsWritten,
+    /// A watch that has fallen silent is taken for one that stands.
+    SilentWatchStands,
+    /// A call to discovery may hang for good.
+    CallHangs,
+    /// A front that leaves shuts connections on which a request has begun to come.
+    ShutsAcrossArriving,
+    /// Discovery is called only when who decides wants the list.
+    AsksWhenWantedAlone,
 }
 
 /// Which of the machines a bug is in.
@@ -113,6 +127,8 @@
     Door,
     /// Requests, attempts, connections to nodes, decisions.
     Front,
+    /// The watch on discovery.
+    Watch,
 }
 
 /// All of them, with the name that commands use.
@@ -150,6 +166,13 @@
     (Bug::OpenGivesWay, "open-gives-way", Part::Door),
     (Bug::NoCapAtDoor, "no-cap-at-door", Part::Door),
     (Bug::LeavesOpenRequests, "leaves-open-requests", Part::Door),
+    (Bug::LeftAttemptGoesOut, "left-attempt-goes-out", Part::Front),
+    (Bug::DrainMissesDialling, "drain-misses-dialling", Part::Front),
+    (Bug::WithdrawnIsWritten, "withdrawn-is-written", Part::Front),
+    (Bug::SilentWatchStands, "silent-watch-stands", Part::Watch),
+    (Bug::CallHangs, "call-hangs", Part::Watch),
+    (Bug::ShutsAcrossArriving, "shuts-across-arriving", Part::Door),
+    (Bug::AsksWhenWantedAlone, "asks-when-wanted-alone", Part::Watch),
 ];
 
 seeded_choice!();
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -1,4 +1,4 @@
-//! Discovery: the node list, the watch on its changes, and asking anew when the watch ends.
+//! Discovery: the node list, the watch on its changes, and calling anew as [`Watch`] says.
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -6,38 +6,47 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use hyper::{Method, StatusCode};
 use simd_json::prelude::*;
 use simd_json::OwnedValue as Value;
 use tokio::sync::watch;
-use tokio::time::sleep;
-use tulipbridge_core::{CellId, Listed, NodeInfo, Scope};
+use tokio::task::yield_now;
+use tokio::time::{sleep_until, Instant};
+use tulipbridge_core::watch::{OnWatch, Step, Watch, CALL};
+use tulipbridge_core::{CellId, Listed, Nanos, NodeInfo, Scope};
 
 use crate::exchange::Exchange;
 use crate::http::{call, Answer};
 use crate::log::log;
 use crate::maintenance::Maintenance;
+use crate::messages::Message;
 use crate::settings::{flag, int, list, text, Res};
 use crate::upstream::Upstream;
 
-/// A watch writes an empty line every 2 s while nothing changes. A machine that is cut off says nothing, and its
-/// connection stays open: silence for two such lines is the end of the watch.
-const SILENT: Duration = Duration::from_millis(4500);
-/// Between two calls to the discovery that a new configuration names, while the old one still tells.
-const AGAIN: Duration = Duration::from_millis(200);
+/// Longest time for a connection to discovery to come up; the whole call is bounded by [`watch::CALL`].
+const DIAL: Duration = Duration::from_secs(1);
 
 /// A watch that is being opened.
-type Opening = Pin<Box<dyn Future<Output = Res<Answer>>>>;
+type Opening = Pin<Box<dyn Future<Output = Res<Standing>>>>;
+
+/// A watch that stands, and where.
+struct Standing {
+    at: SocketAddr,
+    answer: Answer,
+}
 
 /// How far this front has followed discovery.
 pub struct Discovery {
-    /// Longest time for a connection to come up.
-    pub dial_timeout: Duration,
+    /// The first call goes out within this time.
+    pub first_call: Nanos,
+    /// Where in what calls are spread over those of this front lie, from 0 to 1.
+    pub phase: f64,
     /// Names of the zones, in the order of the settings.
     pub zones: Vec<String>,
     /// The version of the list held.
     pub generation: i64,
+    /// Who counts versions so; at first whoever is asked first.
+    pub told_by: Option<SocketAddr>,
     /// Chunk servers held out by hand, between the list and the module.
     pub hand: Rc<Maintenance>,
 }
@@ -53,71 +62,91 @@
         Ok(())
     }
 
-    /// Follows discovery for as long as the program runs, to wherever the configuration moves it. When to ask
-    /// is the module's to say; a move is asked at once, since the time until news counts as told runs already.
+    /// Follows discovery for as long as the program runs, to wherever the configuration moves it. When to call is
+    /// said by [`Watch`]; who decides may want the list earlier.
     pub async fn follow(
         mut self,
         mut address: watch::Receiver<Option<SocketAddr>>,
         exchange: Rc<Exchange<Upstream>>,
     ) {
+        let began = Instant::now();
+        let now = || began.elapsed().as_nanos() as Nanos;
+        let mut machine = Watch::new(0, self.first_call, self.phase);
+        let (mut standing, mut opening): (Option<Standing>, Option<Opening>) = (None, None);
         loop {
-            tokio::select! {
-                () = exchange.subscribe_wanted() => {}
-                Ok(()) = address.changed() => {}
-            }
             // Without discovery the list as last held is all there is, until a configuration names one.
-            let Some(at) = *address.borrow_and_update() else { continue };
-            if let Err(why) = self.watch(at, &mut address, &exchange).await {
-                log!("discovery: {why}");
-            }
-            exchange.fleet(Scope::Unavailable, Vec::new());
-        }
-    }
-
-    /// Watches until the watch ends. Where the address changes meanwhile, the old watch is read on until the
-    /// new one stands, so that no change falls between them.
-    async fn watch(
-        &mut self,
-        mut at: SocketAddr,
-        address: &mut watch::Receiver<Option<SocketAddr>>,
-        exchange: &Rc<Exchange<Upstream>>,
-    ) -> Res<()> {
-        let dial = self.dial_timeout;
-        let mut watch: Option<Answer> = None;
-        let mut next: Option<Opening> = Some(Box::pin(open(at, self.generation, dial, Duration::ZERO)));
-        loop {
-            tokio::select! {
-                line = line(&mut watch) => match line {
-                    Ok(mut line) => self.line(&mut line, exchange),
-                    Err(why) if next.is_none() => return Err(why),
-                    Err(_) => watch = None,
-                },
-                Ok(()) = address.changed() => {
-                    at = address.borrow_and_update().unwrap_or(at);
-                    // Another discovery may count versions in a way of its own: from 0 it tells all.
-                    next = Some(Box::pin(open(at, 0, dial, Duration::ZERO)));
+            let Some(at) = *address.borrow() else {
+                if address.changed().await.is_err() {
+                    return;
                 }
-                opened = ready(&mut next) => match opened {
-                    Ok(opened) => (watch, next) = (Some(opened), None),
-                    Err(why) if watch.is_none() => return Err(why),
+                continue;
+            };
+            let mut opened = None;
+            let due = machine.due().map(|t| began + Duration::from_nanos(t.max(0) as u64));
+            let event = tokio::select! {
+                biased;
+                message = message(&mut standing) => match message {
+                    Ok((from, message)) => {
+                        self.take(message, from, &exchange);
+                        OnWatch::Heard
+                    }
                     Err(why) => {
                         log!("discovery: {why}");
-                        next = Some(Box::pin(open(at, 0, dial, AGAIN)));
+                        standing = None;
+                        OnWatch::Ended
                     }
                 },
+                answer = ready(&mut opening) => {
+                    opening = None;
+                    match answer {
+                        Ok(watch) => {
+                            opened = Some(watch);
+                            OnWatch::Opened
+                        }
+                        Err(why) => {
+                            log!("discovery: {why}");
+                            OnWatch::Failed
+                        }
+                    }
+                }
+                Ok(()) = address.changed() => OnWatch::Moved,
+                () = exchange.subscribe_wanted() => OnWatch::Wanted,
+                () = comes(due) => OnWatch::Due,
+            };
+            for step in machine.on(now(), event) {
+                match step {
+                    Step::Call => {
+                        // A configuration that names none leaves the watch where it is.
+                        let at = address.borrow().unwrap_or(at);
+                        // Another discovery may count versions in a way of its own: from 0 it tells all.
+                        let after = if *self.told_by.get_or_insert(at) == at { self.generation } else { 0 };
+                        opening = Some(Box::pin(open(at, after)));
+                    }
+                    Step::GiveUp => {
+                        log!("discovery: no answer in time");
+                        opening = None;
+                    }
+                    Step::Adopt => standing = opened.take(),
+                    Step::Drop => {
+                        log!("discovery: it is silent");
+                        standing = None;
+                    }
+                    Step::Lost => exchange.fleet(Scope::Unavailable, Vec::new()),
+                }
             }
         }
     }
 
-    /// One line of the watch. A line that cannot be read is passed over, and said in the log.
-    fn line(&mut self, line: &mut [u8], exchange: &Rc<Exchange<Upstream>>) {
-        if line.iter().all(u8::is_ascii_whitespace) {
-            return;
-        }
-        let value = simd_json::to_owned_value(line).map_err(|e| e.to_string());
+    /// One message of the watch at an address. One that cannot be read is passed over, and said in the log.
+    fn take(&mut self, message: Message, from: SocketAddr, exchange: &Rc<Exchange<Upstream>>) {
+        let Message::Json(mut json) = message else { return };
+        let value = simd_json::to_owned_value(&mut json).map_err(|e| e.to_string());
         match value.and_then(|v| self.read(&v, exchange.transport())) {
-            Ok((scope, nodes)) => exchange.fleet(scope, nodes),
-            Err(why) => log!("discovery: a line that cannot be read: {why}"),
+            Ok((scope, nodes)) => {
+                self.told_by = Some(from);
+                exchange.fleet(scope, nodes);
+            }
+            Err(why) => log!("discovery: a message that cannot be read: {why}"),
         }
     }
 
@@ -154,29 +183,39 @@
     }
 }
 
-/// Opens a watch on what changed after a version, after a pause.
-async fn open(address: SocketAddr, after: i64, dial: Duration, pause: Duration) -> Res<Answer> {
-    sleep(pause).await;
+/// Opens a watch on what changed after a version.
+async fn open(at: SocketAddr, after: i64) -> Res<Standing> {
     let path = format!("/registry/instances?watch=1&after={after}");
-    let watch = call(address, Method::GET, &path, String::new(), dial, SILENT).await?;
-    match watch.status {
-        StatusCode::OK => Ok(watch),
+    let wait = Duration::from_nanos(CALL as u64);
+    let answer = call(at, Method::GET, &path, String::new(), DIAL, wait).await?;
+    match answer.status {
+        StatusCode::OK => Ok(Standing { at, answer }),
         status => Err(format!("it answered {status}")),
     }
 }
 
-/// The next line of a watch; never, where there is none.
-async fn line(watch: &mut Option<Answer>) -> Res<BytesMut> {
-    match watch {
-        Some(watch) => watch.line(SILENT).await,
+/// The next message of the watch that stands; never, where there is none.
+async fn message(standing: &mut Option<Standing>) -> Res<(SocketAddr, Message)> {
+    match standing {
+        Some(standing) => standing.answer.message().await.map(|message| (standing.at, message)),
         None => std::future::pending().await,
     }
 }
 
 /// The end of the opening; never, where there is none.
-async fn ready(opening: &mut Option<Opening>) -> Res<Answer> {
+async fn ready(opening: &mut Option<Opening>) -> Res<Standing> {
     match opening {
         Some(opening) => opening.await,
         None => std::future::pending().await,
     }
 }
+
+/// Returns at a moment; never, where there is none.
+async fn comes(due: Option<Instant>) {
+    match due {
+        Some(due) => sleep_until(due).await,
+        None => std::future::pending().await,
+    }
+    // If it was this process that stood still, what has come meanwhile is read first.
+    yield_now().await;
+}
--- a/src/etcd.rs
+++ b/src/etcd.rs
@@ -11,10 +11,11 @@
 use simd_json::prelude::*;
 use simd_json::{json, OwnedValue as Value};
 use tokio::sync::mpsc::Sender;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 use crate::http::call;
 use crate::log::log;
+use crate::messages::Message;
 use crate::settings::{list, text, Res};
 
 const DIAL: Duration = Duration::from_secs(2);
@@ -72,16 +73,14 @@
                 return Err(format!("the watch was answered {}", watch.status));
             }
             loop {
-                let mut line = match watch.line(SILENT).await {
-                    // Nothing was missed: the next watch begins where this one ended.
-                    Err(why) if why == "it is silent" => break,
-                    other => other?,
-                };
+                // Nothing was missed: the next watch begins where this one ended.
+                let Ok(message) = timeout(SILENT, watch.message()).await else { break };
+                let Message::Json(mut line) = message? else { continue };
                 let value = simd_json::to_owned_value(&mut line).map_err(|e| format!("not JSON: {e}"))?;
                 if let Some(error) = value.get("error") {
                     return Err(format!("the watch failed: {}", error.encode()));
                 }
-                let result = value.get("result").ok_or("a line of the watch has no result")?;
+                let result = value.get("result").ok_or("a message of the watch has no result")?;
                 if result.get("canceled").and_then(Value::as_bool) == Some(true) {
                     // Among others where the revision has been compacted: the list tells what was missed.
                     return Err("the watch was cancelled; listing anew".to_owned());
--- a/src/front.rs
+++ b/src/front.rs
@@ -10,6 +10,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
+use tulipbridge_core::{Nanos, Settings};
 
 use crate::config::Config;
 use crate::console::{self, Console};
@@ -89,6 +90,17 @@
     pub places: usize,
 }
 
+/// How long a front that starts may wait before it calls discovery. Where lists are pushed, what the agent has counts as
+/// told from the first moment; where they are asked for, a list counts as told only after a time without a call,
+/// and the module's own first call comes before half of that, spread over the fleet.
+fn first_call(settings: &Settings) -> Nanos {
+    if settings.list_on_request {
+        settings.ask_every / 2
+    } else {
+        0
+    }
+}
+
 /// The parts behind a front: the exchange, its upstream, discovery at the address told, the servers held out by
 /// hand and the console, where the configuration names one.
 ///
@@ -111,9 +123,14 @@
         .transpose()?;
     let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
     let maintenance = Maintenance::new(folder, &config.name, Rc::clone(&exchange));
-    let dial_timeout = config.dial_timeout;
-    let mut discovery =
-        Discovery { dial_timeout, zones: config.zones.clone(), generation: 0, hand: Rc::clone(&maintenance) };
+    let mut discovery = Discovery {
+        first_call: first_call(&config.settings),
+        phase: fastrand::Rng::with_seed(config.seed).f64(),
+        zones: config.zones.clone(),
+        generation: 0,
+        told_by: None,
+        hand: Rc::clone(&maintenance),
+    };
     discovery.restore(&config.known, &exchange).map_err(|why| format!("'known': {why}"))?;
     spawn_local(discovery.follow(address, Rc::clone(&exchange)));
     spawn_local(Rc::clone(&maintenance).follow());
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,10 +1,10 @@
 //! The program as a client of its helpers (discovery, etcd, an agent): one call on a connection of its own, and
-//! answers that come as lines.
+//! answers that come as messages.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::handshake;
@@ -15,9 +15,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::messages::{Message, Messages};
 use crate::settings::Res;
 
-/// The longest line or whole answer that is taken in.
+/// The longest message or whole answer that is taken in.
 const MOST: usize = 8 << 20;
 
 /// An answer that is coming. Dropping it closes the connection.
@@ -25,7 +26,7 @@
     /// Its status.
     pub status: StatusCode,
     body: Incoming,
-    held: BytesMut,
+    messages: Messages,
     _task: Driven,
 }
 
@@ -64,25 +65,25 @@
     let request = request.body(Full::new(Bytes::from(body)));
     let sent = sender.send_request(request.map_err(|e| e.to_string())?);
     let answer = timeout(wait, sent).await.map_err(|_| "no answer in time")?.map_err(|e| e.to_string())?;
-    Ok(Answer { status: answer.status(), body: answer.into_body(), held: BytesMut::new(), _task: task })
+    let (status, body) = (answer.status(), answer.into_body());
+    Ok(Answer { status, body, messages: Messages::default(), _task: task })
 }
 
 impl Answer {
-    /// The next line, without waiting for longer than `silent` for any part of it.
+    /// The next message, however long it takes. Dropping the future loses nothing of it.
     ///
     /// # Errors
-    /// Where it is silent, broken, or without end; and where it has ended.
-    pub async fn line(&mut self, silent: Duration) -> Res<BytesMut> {
+    /// Where it is broken or without end, and where the answer has ended.
+    pub async fn message(&mut self) -> Res<Message> {
         loop {
-            if let Some(end) = self.held.iter().position(|b| *b == b'\n') {
-                return Ok(self.held.split_to(end + 1));
+            if let Some(message) = self.messages.pop() {
+                return Ok(message);
             }
-            if self.held.len() > MOST {
-                return Err("a line without end".to_owned());
+            if self.messages.held() > MOST {
+                return Err("a message without end".to_owned());
             }
-            let frame = timeout(silent, self.body.frame()).await.map_err(|_| "it is silent")?;
-            let frame = frame.ok_or("it has ended")?.map_err(|e| e.to_string())?;
-            self.held.extend_from_slice(frame.data_ref().map_or(&[][..], |d| d));
+            let frame = self.body.frame().await.ok_or("it has ended")?.map_err(|e| e.to_string())?;
+            self.messages.push(frame.data_ref().map_or(&[][..], |d| d));
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod listener;
 mod log;
 pub mod maintenance;
+pub mod messages;
 pub mod object;
 pub mod peers;
 pub mod retune;
