Withdraw attempts that have not begun once nobody wants them; take answers without a length

A connection that comes up late carried the request of a client that had left meanwhile. Now the desk withdraws what is out when a client leaves, at an answer, and when its server drains or goes; a request is begun only if it is still wanted when its first byte is written. A repeat that may go only within a window begins within it.

The checker, held to the first byte instead of the placing, found one more: an attempt that was to be dropped could still begin before it was.

An answer without a length was taken for spoilt; it ends with its connection, and a reset is no end.

--- a/crates/checker/src/world.rs
+++ b/crates/checker/src/world.rs
@@ -27,8 +27,6 @@
 const OVERDUE: Nanos = 20 * MS;
 /// How long this machine may stand still at once.
 const STILL: Nanos = 220 * MS;
-/// Sends to a node that is leaving stop within this time of the notice.
-pub const GRACE: Nanos = 500 * MS;
 
 /// Of work whose connection is gone.
 const NO_WIRE: u32 = u32::MAX;
@@ -167,6 +165,8 @@
     touched: u8,
     /// To be dropped.
     stopped: bool,
+    /// Withdrawn, to end so unless it has begun.
+    withdrawn: Option<Outcome>,
 }
 
 /// A request as a node knows it.
@@ -197,7 +197,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Told {
     listed: Listed,
-    since: Nanos,
     cell: CellId,
     came_up: Nanos,
     forgotten: bool,
@@ -261,6 +260,8 @@
     TurnedAway(usize),
     /// The front drops an attempt that was given up.
     Drop(ReqId, u32),
+    /// The front ends an attempt that was withdrawn before it began.
+    Withdraw(ReqId, u32),
     /// The register's next news arrives.
     News(usize),
     /// The clock moves on.
@@ -299,6 +300,7 @@
             Step::Error(w) => write!(f, "the node answers work {w} with an error"),
             Step::TurnedAway(w) => write!(f, "the node turns work {w} away"),
             Step::Drop(id, a) => write!(f, "attempt {a} of request {id} is dropped"),
+            Step::Withdraw(id, a) => write!(f, "attempt {a} of request {id} ends before it began"),
             Step::News(n) => write!(f, "news {n} of the register arrives"),
             Step::Clock => write!(f, "the clock moves on"),
             Step::Still => write!(f, "the front stands still"),
@@ -333,7 +335,7 @@
                 ))
             }
         };
-        let node = |n| Told { listed: Listed::Up, since: BEGAN, cell: n, came_up: 0, forgotten: false };
+        let node = |n| Told { listed: Listed::Up, cell: n, came_up: 0, forgotten: false };
         let mut state = State {
             now: BEGAN,
             steps: 0,
@@ -398,6 +400,8 @@
         for (&(id, attempt), t) in &state.tries {
             if t.stopped {
                 steps.push(Step::Drop(id, attempt));
+            } else if t.withdrawn.is_some() && t.machine == Attempt::Dialling {
+                steps.push(Step::Withdraw(id, attempt));
             }
             if state.now >= t.until {
                 steps.push(Step::TimeUp(id, attempt));
@@ -415,7 +419,12 @@
         let due = steps.iter().any(|s| {
             matches!(
                 s,
-                Step::Timer(_) | Step::TimeUp(..) | Step::DialTimeUp(_) | Step::Overdue(_) | Step::Drop(..)
+                Step::Timer(_)
+                    | Step::TimeUp(..)
+                    | Step::DialTimeUp(_)
+                    | Step::Overdue(_)
+                    | Step::Drop(..)
+                    | Step::Withdraw(..)
             )
         });
         if !due && (state.is_busy() || (silent.is_some() && state.steps < self.steps)) {
@@ -636,6 +645,13 @@
                 self.dropped((id, attempt));
                 self.feed(world, Input::Stopped { id, attempt });
             }
+            Step::Withdraw(id, attempt) => {
+                let key = (id, attempt);
+                let Some(t) = self.tries.get_mut(&key) else { return };
+                let (wire, outcome) = (t.wire.take(), t.withdrawn);
+                wire.into_iter().for_each(|wire| self.close(wire));
+                self.drive(world, key, OnAttempt::Withdrawn(outcome.unwrap_or(Outcome::Skipped)));
+            }
             Step::TimeUp(id, attempt) => {
                 self.dropped((id, attempt));
                 self.feed(world, Input::TimeUp { id, attempt });
@@ -669,7 +685,7 @@
     fn carry_out(&mut self, world: &World, effects: Vec<Effect>, brought: Option<Option<usize>>) {
         for effect in effects {
             match effect {
-                Effect::Send { id, attempt, node, until } => {
+                Effect::Send { id, attempt, node, until, .. } => {
                     self.check_send(world, id, node);
                     let time =
                         |c: &Client| matches!(c, Client::Waits { id: i, until: t } if *i == id && *t < until);
@@ -681,6 +697,7 @@
                         wire: None,
                         touched: 0,
                         stopped: false,
+                        withdrawn: None,
                     };
                     self.tries.insert((id, attempt), fresh);
                     self.step_on(world, (id, attempt), Next::Choose);
@@ -688,6 +705,9 @@
                 Effect::Stop { id, attempt } => {
                     self.tries.entry((id, attempt)).and_modify(|t| t.stopped = true);
                 }
+                Effect::Withdraw { id, attempt, outcome } => {
+                    self.tries.entry((id, attempt)).and_modify(|t| t.withdrawn = Some(outcome));
+                }
                 Effect::Answer { id, verdict } => self.answer(world, id, verdict, brought),
                 Effect::Release(_) | Effect::Note { .. } | Effect::Subscribe => {}
                 Effect::Sleep { after, cookie } => {
@@ -859,19 +879,23 @@
     /// The front looks at the socket, and writes.
     fn write(&mut self, world: &World, conn: u32, last: bool) {
         let Some(wire) = self.wires.get_mut(&conn) else { return };
-        if !wire.machine.may_write(wire.unasked) {
+        let on = wire.on.and_then(|key| self.tries.get(&key));
+        let withdrawn = on.and_then(|t| t.withdrawn.or(t.stopped.then_some(Outcome::Canceled)));
+        if !wire.machine.may_write(wire.unasked, withdrawn.is_some()) {
             let (doubt, sent) = (wire.machine.doubt(), wire.sent);
             self.doubted(doubt, sent);
-            self.cut(world, conn, OnAttempt::Broke(doubt));
+            let ends = withdrawn.filter(|_| doubt == Doubt::Untouched).map(OnAttempt::Withdrawn);
+            self.cut(world, conn, ends.unwrap_or(OnAttempt::Broke(doubt)));
             return;
         }
         let Some(key) = wire.on else { return };
         let first = wire.sent == Sent::Nothing;
+        let waits = |c: &Client| matches!(c, Client::Waits { id, .. } if *id == key.0);
+        self.broken.sent_for_nobody |= first && !self.clients.iter().any(waits);
         wire.sent = if last { Sent::Whole } else { Sent::Part };
         wire.machine.on(OnLink::Wrote { last });
         let told = &self.nodes[wire.node];
-        self.broken.work_to_leaving_node |=
-            first && told.listed != Listed::Up && self.now - told.since > GRACE;
+        self.broken.work_to_leaving_node |= first && told.listed != Listed::Up;
         if let Some(t) = self.tries.get_mut(&key) {
             t.touched += u8::from(first);
             self.broken.resent |= t.touched > 1;
@@ -955,19 +979,14 @@
             }
             News::Drains(node) => {
                 self.nodes[node].listed = Listed::Draining;
-                self.nodes[node].since = now;
                 (Scope::Update, node)
             }
             News::Gone(node) => {
-                let told = &mut self.nodes[node];
-                if told.listed == Listed::Up {
-                    told.since = now;
-                }
-                told.listed = Listed::Removed;
+                self.nodes[node].listed = Listed::Removed;
                 (Scope::Update, node)
             }
             News::TakesOver(node, cell) => {
-                let fresh = Told { listed: Listed::Up, since: now, cell, came_up: now, forgotten: false };
+                let fresh = Told { listed: Listed::Up, cell, came_up: now, forgotten: false };
                 if node == self.nodes.len() {
                     self.nodes.push(fresh);
                 } else {
@@ -1055,7 +1074,7 @@
             (number, w.machine, w.node, w.place, w.sent, w.closed, w.unasked, w.up, since, w.on).hash(h);
         }
         for (key, t) in &self.tries {
-            (key, t.node, ago(t.until), t.machine, t.wire, t.touched, t.stopped).hash(h);
+            (key, t.node, ago(t.until), t.machine, t.wire, t.touched, t.stopped, t.withdrawn).hash(h);
         }
         self.works.hash(h);
         for client in &self.clients {
@@ -1070,7 +1089,7 @@
             (ago(*due), cookie).hash(h);
         }
         for told in &self.nodes {
-            (told.listed, ago(told.since).min(GRACE + 1), told.cell, told.forgotten).hash(h);
+            (told.listed, told.cell, told.forgotten).hash(h);
         }
     }
 }
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -7,7 +7,9 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::interface::{Action, Event, Nanos, NodeId, NodeInfo, Outcome, ReqId, Request, Scope, Told};
+use crate::interface::{
+    Action, Event, Listed, Nanos, NodeId, NodeInfo, Outcome, ReqId, Request, Scope, Told,
+};
 use crate::seeded::{seeded, Bug};
 use crate::state::Scheduler;
 
@@ -15,12 +17,21 @@
 pub trait Decisions {
     /// Takes one event at a moment that is never before the last one's.
     fn handle(&mut self, now: Nanos, event: Event, actions: &mut Vec<Action>);
+
+    /// Until when an attempt of a request that is placed now may begin; after that it may no longer be repeated.
+    fn begins_by(&self, _id: ReqId) -> Nanos {
+        Nanos::MAX
+    }
 }
 
 impl Decisions for Scheduler {
     fn handle(&mut self, now: Nanos, event: Event, actions: &mut Vec<Action>) {
         Scheduler::handle(self, now, event, actions);
     }
+
+    fn begins_by(&self, id: ReqId) -> Nanos {
+        Scheduler::begins_by(self, id)
+    }
 }
 
 /// What happens to requests and attempts.
@@ -75,7 +86,8 @@
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    /// Start an attempt, once. It may run until the moment told.
+    /// Start an attempt, once. It may run until the moment told, and is as if withdrawn (`Skipped`) where it has not
+    /// begun by the other.
     Send {
         /// The request.
         id: ReqId,
@@ -85,6 +97,8 @@
         node: NodeId,
         /// When its time is over.
         until: Nanos,
+        /// When it must have begun.
+        begin_by: Nanos,
     },
     /// Drop an attempt that is out, and say so with [`Input::Stopped`] unless it ended first.
     Stop {
@@ -93,6 +107,16 @@
         /// Number of the attempt.
         attempt: u32,
     },
+    /// Nobody wants an attempt any more: unless a byte of it has been written it ends now, with this outcome, and
+    /// none is written. One that has begun goes on.
+    Withdraw {
+        /// The request.
+        id: ReqId,
+        /// Number of the attempt.
+        attempt: u32,
+        /// How it ends where it has not begun.
+        outcome: Outcome,
+    },
     /// The one final answer. `Served` comes only while [`Input::Ended`] is handled: with what that brought.
     Answer {
         /// The request.
@@ -226,7 +250,10 @@
                 let outcome = if never { Outcome::Refused } else { Outcome::Canceled };
                 self.ended(now, (id, attempt), outcome, (0.0, 0.0), effects)
             }
-            Input::Fleet { scope, nodes } => self.feed(now, Event::Fleet { scope, nodes }, effects),
+            Input::Fleet { scope, nodes } => {
+                self.withdraw_from_leaving(scope, &nodes, effects);
+                self.feed(now, Event::Fleet { scope, nodes }, effects);
+            }
             Input::Told(told) => self.feed(now, Event::Told(told), effects),
             Input::Timer(cookie) => self.feed(now, Event::Timer(cookie), effects),
         }
@@ -245,6 +272,7 @@
     fn leave(&mut self, now: Nanos, id: ReqId, effects: &mut Vec<Effect>) {
         let Some(held) = self.held.get_mut(&id).filter(|h| !h.settled) else { return };
         held.settled = !seeded(Bug::AnswerToClientThatLeft);
+        self.withdraw(id, effects);
         if !seeded(Bug::LeftChargedForEver) {
             self.release(id, effects);
         }
@@ -269,7 +297,9 @@
         if outcome == Outcome::Done && (!held.settled || seeded(Bug::SecondFinalAnswer)) {
             held.settled = true;
             effects.push(Effect::Answer { id, verdict: Verdict::Served });
+            self.withdraw(id, effects);
         }
+        let Some(held) = self.held.get(&id) else { return };
         let last = held.settled;
         self.release(id, effects);
         let (node, took) = (out.node, now - out.at);
@@ -326,7 +356,8 @@
                     0 => held.until,
                     some => held.until.min(now + some.max(0)),
                 };
-                effects.push(Effect::Send { id, attempt, node, until });
+                let begin_by = self.decisions.begins_by(id);
+                effects.push(Effect::Send { id, attempt, node, until, begin_by });
             }
             Action::Cancel { id, attempt } => {
                 let out =
@@ -351,10 +382,32 @@
         if !held.settled {
             held.settled = true;
             effects.push(Effect::Answer { id, verdict });
+            self.withdraw(id, effects);
         }
         self.release(id, effects);
     }
 
+    /// Nobody waits for a request any more: what has not begun of it never does, and says nothing of its node.
+    fn withdraw(&self, id: ReqId, effects: &mut Vec<Effect>) {
+        let out = self.held.get(&id).filter(|_| !seeded(Bug::LeftAttemptGoesOut)).map(|h| &h.out);
+        let wanted = out.into_iter().flatten().filter(|o| !o.stopped);
+        let outcome = Outcome::Skipped;
+        effects.extend(wanted.map(|o| Effect::Withdraw { id, attempt: o.attempt, outcome }));
+    }
+
+    /// A node that is leaving wants nothing new: what has not begun at it never ran, and may go elsewhere.
+    fn withdraw_from_leaving(&self, scope: Scope, nodes: &[NodeInfo], effects: &mut Vec<Effect>) {
+        let stays = |node: NodeId| match nodes.iter().rev().find(|n| n.node == node) {
+            Some(told) => told.listed == Listed::Up,
+            None => scope != Scope::Replace,
+        };
+        for (id, held) in self.held.iter().filter(|_| !seeded(Bug::DrainMissesDialling)) {
+            for out in held.out.iter().filter(|o| !o.stopped && !stays(o.node)) {
+                effects.push(Effect::Withdraw { id: *id, attempt: out.attempt, outcome: Outcome::Refused });
+            }
+        }
+    }
+
     fn release(&mut self, id: ReqId, effects: &mut Vec<Effect>) {
         if self
             .held
--- a/crates/core/src/link.rs
+++ b/crates/core/src/link.rs
@@ -96,12 +96,15 @@
     }
 
     /// Whether bytes may be written, asked just before: `waits` says that bytes, or the end, lie on the socket
-    /// already. Behind the last byte nothing would tell them from the answer.
-    pub fn may_write(&mut self, waits: bool) -> bool {
+    /// already, and `withdrawn` that nobody wants the request any more. Behind the last byte nothing would tell the
+    /// waiting bytes from the answer; a request that has begun is not broken off.
+    pub fn may_write(&mut self, waits: bool, withdrawn: bool) -> bool {
         if waits && !seeded(Bug::WritesOverWaitingBytes) {
             self.on(OnLink::Heard);
         }
-        !matches!(self, Link::Spoilt { .. })
+        let begins = *self == Link::Writing { begun: false };
+        let unwanted = begins && withdrawn && !seeded(Bug::WithdrawnIsWritten);
+        !matches!(self, Link::Spoilt { .. }) && !unwanted
     }
 
     /// What is known of the request on it, were it to break now.
@@ -154,6 +157,8 @@
     Broke(Doubt),
     /// An answer has come whole, with this outcome by the table.
     Answered(Outcome),
+    /// It was withdrawn, with this outcome, and nothing of it has been written: nothing is.
+    Withdrawn(Outcome),
 }
 
 /// What an attempt does next.
@@ -195,6 +200,7 @@
             (Attempt::Reusing | Attempt::Fresh, OnAttempt::Answered(outcome)) => Next::End(outcome),
             // What does not fit is a fault of the shell's; in doubt it may have run.
             (Attempt::Over(outcome), _) => Next::End(outcome),
+            (_, OnAttempt::Withdrawn(outcome)) => Next::End(outcome),
             _ => Next::End(Outcome::Reset),
         };
         *self = match next {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -785,6 +785,17 @@
         }
     }
 
+    /// Until when an attempt of a request may begin: one that may have run may be repeated only within its window, and
+    /// a connection may take its time to come up.
+    pub(crate) fn begins_by(&self, id: ReqId) -> Nanos {
+        let Some(live) = self.live.get(&id) else { return Nanos::MAX };
+        let class = &self.set.classes[live.req.class];
+        match live.maybe_ran {
+            Some((sent, _)) if class.semantics == Semantics::Deduplicated => sent + class.window,
+            _ => Nanos::MAX,
+        }
+    }
+
     /// A first send that was none: its units go back.
     pub(crate) fn give_back(&mut self, volume: VolId, units: f64) {
         if let Some(limit) = self.volumes.get_mut(&volume).and_then(|v| v.limit.as_mut()) {
--- /dev/null
+++ b/crates/core/tests/withdrawal.rs
@@ -0,0 +1,104 @@
+//! What nobody wants any more and has not begun is withdrawn, and never begins.
+
+use tulipbridge_core::desk::{Decisions, Desk, Effect, Input};
+use tulipbridge_core::link::{Attempt, Doubt, Link, Next, OnAttempt, OnLink};
+use tulipbridge_core::{Action, Event, Listed, Nanos, NodeInfo, Outcome, Request, Scope};
+
+/// Sends each request to node 0, and does nothing else unless it is told to.
+#[derive(Default)]
+struct ToOne(Vec<Action>);
+
+impl Decisions for ToOne {
+    fn handle(&mut self, _now: Nanos, event: Event, actions: &mut Vec<Action>) {
+        if let Event::Request(request) = event {
+            actions.push(Action::Place { id: request.id, node: 0, patience: 0 });
+        }
+        actions.append(&mut self.0);
+    }
+}
+
+fn asked() -> Desk<ToOne> {
+    let mut desk = Desk::new(ToOne::default());
+    let request = Request {
+        id: desk.number(),
+        class: 0,
+        plan: 0,
+        volume: 1,
+        key: None,
+        patience: 1_000_000_000,
+        units: 1.0,
+        cell: None,
+        set_size: 1,
+    };
+    let mut effects = Vec::new();
+    desk.on(0, Input::Asked(request), &mut effects);
+    assert!(matches!(effects[..], [Effect::Send { id: 0, attempt: 0, node: 0, .. }]), "{effects:?}");
+    desk
+}
+
+fn withdrawn(desk: &mut Desk<ToOne>, input: Input) -> Vec<Outcome> {
+    let mut effects = Vec::new();
+    desk.on(1, input, &mut effects);
+    let told = effects.into_iter().filter_map(|e| match e {
+        Effect::Withdraw { id: 0, attempt: 0, outcome } => Some(outcome),
+        _ => None,
+    });
+    told.collect()
+}
+
+fn entry(node: usize, listed: Listed) -> NodeInfo {
+    NodeInfo { node, zone: 0, cell: 0, listed, came_up: 0 }
+}
+
+#[test]
+fn a_client_that_goes_takes_what_has_not_begun_with_it() {
+    assert_eq!(withdrawn(&mut asked(), Input::Left(0)), [Outcome::Skipped]);
+    assert_eq!(withdrawn(&mut asked(), Input::Overdue(0)), [Outcome::Skipped]);
+}
+
+#[test]
+fn an_answer_withdraws_what_has_not_begun() {
+    let mut desk = asked();
+    desk.decisions_mut().0.push(Action::Refuse { id: 0, wait: 0 });
+    assert_eq!(withdrawn(&mut desk, Input::Timer(9)), [Outcome::Skipped]);
+}
+
+#[test]
+fn a_node_that_leaves_gets_nothing_that_has_not_begun_and_it_may_go_elsewhere() {
+    let news = |scope, nodes| Input::Fleet { scope, nodes };
+    for (name, input, expected) in [
+        ("drains", news(Scope::Update, vec![entry(0, Listed::Draining)]), true),
+        ("is gone", news(Scope::Update, vec![entry(0, Listed::Removed)]), true),
+        ("is not on the list", news(Scope::Replace, vec![entry(1, Listed::Up)]), true),
+        ("stays", news(Scope::Replace, vec![entry(0, Listed::Up)]), false),
+        ("is not spoken of", news(Scope::Update, vec![entry(1, Listed::Draining)]), false),
+        (
+            "is told up last",
+            news(Scope::Update, vec![entry(0, Listed::Draining), entry(0, Listed::Up)]),
+            false,
+        ),
+    ] {
+        let told = withdrawn(&mut asked(), input);
+        assert_eq!(told, if expected { vec![Outcome::Refused] } else { vec![] }, "the node {name}");
+    }
+}
+
+#[test]
+fn what_is_withdrawn_ends_where_it_stands() {
+    let outcome = Outcome::Skipped;
+    for mut attempt in [Attempt::Choosing, Attempt::Dialling, Attempt::Reusing, Attempt::Fresh] {
+        assert_eq!(attempt.on(OnAttempt::Withdrawn(outcome)), Next::End(outcome));
+        assert_eq!(attempt, Attempt::Over(outcome));
+    }
+}
+
+#[test]
+fn no_byte_of_what_is_withdrawn_is_written_and_what_has_begun_is_not_broken_off() {
+    let mut link = Link::Quiet;
+    link.on(OnLink::HandedOver);
+    assert!(link.may_write(false, false));
+    assert!(!link.may_write(false, true));
+    assert_eq!(link.doubt(), Doubt::Untouched);
+    link.on(OnLink::Wrote { last: false });
+    assert!(link.may_write(false, true));
+}
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -76,15 +76,81 @@
     /// A node is gone and nothing is out to it: its connections and its name are of no use.
     fn forget(&self, node: NodeId);
 
-    /// One attempt, sent once at the most. Dropping the future gives the attempt up.
+    /// One attempt, sent once at the most. Dropping the future gives the attempt up; one that is withdrawn before a
+    /// byte of it is written ends with the outcome told, and nothing is written.
     fn attempt(
         &self,
         node: NodeId,
         payload: Rc<Self::Payload>,
         until: Instant,
+        withdrawal: Withdrawal,
     ) -> impl Future<Output = Ended<Self::Answer>> + 'static;
 }
 
+/// What the desk has said of an attempt that is out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Order {
+    /// It is dropped.
+    Stop,
+    /// It ends so, unless it has begun.
+    Withdraw(Outcome),
+}
+
+/// Whether an attempt is still wanted.
+#[derive(Clone, Debug)]
+pub struct Withdrawal {
+    attempt: u32,
+    /// Where it has not begun by then, it is not wanted any more.
+    begin_by: Option<Instant>,
+    orders: watch::Receiver<Option<(u32, Order)>>,
+}
+
+impl Withdrawal {
+    /// How the attempt ends, where it has been withdrawn.
+    pub fn outcome(&self) -> Option<Outcome> {
+        match *self.orders.borrow() {
+            Some((attempt, Order::Withdraw(outcome))) if attempt == self.attempt => Some(outcome),
+            // One that is to be dropped does not begin before it is.
+            Some((attempt, Order::Stop)) if attempt == self.attempt => Some(Outcome::Canceled),
+            _ => self.begin_by.filter(|by| Instant::now() >= *by).map(|_| Outcome::Skipped),
+        }
+    }
+
+    /// Returns when the attempt is withdrawn, with how it ends.
+    pub async fn comes(&mut self) -> Outcome {
+        loop {
+            if let Some(outcome) = self.outcome() {
+                return outcome;
+            }
+            let over = async {
+                match self.begin_by {
+                    Some(by) => tokio::time::sleep_until(by.into()).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                changed = self.orders.changed() => if changed.is_err() {
+                    std::future::pending::<()>().await;
+                },
+                () = over => return Outcome::Skipped,
+            }
+        }
+    }
+
+    /// Returns when the attempt is to be dropped.
+    async fn stopped(&mut self) {
+        let stop = Some((self.attempt, Order::Stop));
+        if self.orders.wait_for(|order| *order == stop).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// One that never comes.
+    pub fn never() -> Withdrawal {
+        Withdrawal { attempt: 0, begin_by: None, orders: watch::Sender::new(None).subscribe() }
+    }
+}
+
 /// The final answer to a request.
 #[derive(Debug)]
 pub enum Final<A> {
@@ -101,8 +167,8 @@
     class: usize,
     /// Taken by the final answer.
     answer: Option<oneshot::Sender<Final<T::Answer>>>,
-    /// The attempt that has been given up last.
-    stopped: watch::Sender<Option<u32>>,
+    /// What was said last of one of its attempts.
+    orders: watch::Sender<Option<(u32, Order)>>,
 }
 
 /// Who knows what this front may use of limits that others share, and what all hold of nodes.
@@ -172,6 +238,12 @@
         look(self.core.borrow().desk.decisions().settings())
     }
 
+    /// The longest deadline of a class.
+    pub fn longest_deadline(&self) -> Duration {
+        let longest = self.settings_of(|set| set.classes.iter().map(|c| c.deadline).max());
+        Duration::from_nanos(longest.unwrap_or(0).max(0) as u64)
+    }
+
     /// Has limits shared with other fronts from now on.
     pub fn share(&self, rights: Rc<dyn Rights>) {
         *self.rights.borrow_mut() = Some(rights);
@@ -220,9 +292,9 @@
         {
             let mut core = self.core.borrow_mut();
             request.id = core.desk.number();
-            let (answer, stopped) = (Some(sender), watch::Sender::new(None));
+            let (answer, orders) = (Some(sender), watch::Sender::new(None));
             let (payload, class) = (Rc::new(payload), request.class);
-            core.live.insert(request.id, Live { payload, class, answer, stopped });
+            core.live.insert(request.id, Live { payload, class, answer, orders });
         }
         let id = request.id;
         let waiting = Waiting { exchange: self, id };
@@ -262,12 +334,11 @@
     /// Nothing in here feeds the desk, so what happens and what is done about it keep their order.
     fn carry_out(self: &Rc<Self>, effect: Effect, brought: &mut Option<T::Answer>) {
         match effect {
-            Effect::Send { id, attempt, node, until } => self.send(id, attempt, node, until),
-            Effect::Stop { id, attempt } => {
-                if let Some(live) = self.core.borrow().live.get(&id) {
-                    live.stopped.send_replace(Some(attempt));
-                }
+            Effect::Send { id, attempt, node, until, begin_by } => {
+                self.send((id, attempt), node, until, begin_by);
             }
+            Effect::Stop { id, attempt } => self.order(id, attempt, Order::Stop),
+            Effect::Withdraw { id, attempt, outcome } => self.order(id, attempt, Order::Withdraw(outcome)),
             Effect::Answer { id, verdict } => {
                 let sender = self.core.borrow_mut().live.get_mut(&id).and_then(|l| l.answer.take());
                 let answer = match (verdict, brought.take()) {
@@ -294,16 +365,24 @@
         }
     }
 
+    fn order(&self, id: ReqId, attempt: u32, order: Order) {
+        if let Some(live) = self.core.borrow().live.get(&id) {
+            live.orders.send_replace(Some((attempt, order)));
+        }
+    }
+
     /// Starts an attempt, which ends by itself, when its time is over or when it is given up, whichever is first.
-    fn send(self: &Rc<Self>, id: ReqId, attempt: u32, node: NodeId, until: Nanos) {
+    fn send(self: &Rc<Self>, (id, attempt): (ReqId, u32), node: NodeId, until: Nanos, begin_by: Nanos) {
         let until = self.clock.instant(until);
-        let (carried, mut stopped) = {
+        let begin_by = (begin_by < Nanos::MAX).then(|| self.clock.instant(begin_by));
+        let (carried, mut withdrawal) = {
             let core = self.core.borrow();
             let Some(live) = core.live.get(&id) else { return };
             if let Some(rights) = &*self.rights.borrow() {
                 rights.sent(id, attempt, node, live.class);
             }
-            (self.transport.attempt(node, Rc::clone(&live.payload), until), live.stopped.subscribe())
+            let withdrawal = Withdrawal { attempt, begin_by, orders: live.orders.subscribe() };
+            (self.transport.attempt(node, Rc::clone(&live.payload), until, withdrawal.clone()), withdrawal)
         };
         let exchange = Rc::clone(self);
         tokio::task::spawn_local(async move {
@@ -315,7 +394,7 @@
                     }
                     Err(_) => (Input::TimeUp { id, attempt }, None),
                 },
-                Ok(_) = stopped.wait_for(|s| *s == Some(attempt)) => (Input::Stopped { id, attempt }, None),
+                () = withdrawal.stopped() => (Input::Stopped { id, attempt }, None),
             };
             exchange.feed(input, brought);
         });
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -73,6 +73,7 @@
         Effect::Send { id, attempt, node, .. } => {
             json!({ "e": "send", "id": id, "attempt": attempt, "node": name(*node) })
         }
+        Effect::Withdraw { id, attempt, .. } => json!({ "e": "withdraw", "id": id, "attempt": attempt }),
         Effect::Stop { id, attempt } => json!({ "e": "stop", "id": id, "attempt": attempt }),
         Effect::Answer { id, verdict } => match verdict {
             Verdict::Served => json!({ "e": "answer", "id": id, "verdict": "served" }),
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -31,7 +31,7 @@
 use tulipbridge_core::link::{Attempt, Doubt, Link, Next, OnAttempt, OnLink, Pool, Room};
 use tulipbridge_core::{CellId, Nanos, NodeId, Outcome};
 
-use crate::exchange::{Ended, Transport};
+use crate::exchange::{Ended, Transport, Withdrawal};
 use crate::figures::ClassFigures;
 use crate::listener::Hold;
 use crate::trace;
@@ -215,15 +215,22 @@
         node: NodeId,
         payload: Rc<Payload>,
         until: Instant,
+        withdrawal: Withdrawal,
     ) -> impl Future<Output = Ended<Answer>> + 'static {
         let shared = Rc::clone(&self.shared);
-        async move { shared.attempt(node, &payload, until).await }
+        async move { shared.attempt(node, &payload, until, withdrawal).await }
     }
 }
 
 impl Shared {
     /// Carries an attempt out, step by step as the machine says.
-    async fn attempt(self: Rc<Self>, node: NodeId, payload: &Payload, until: Instant) -> Ended<Answer> {
+    async fn attempt(
+        self: Rc<Self>,
+        node: NodeId,
+        payload: &Payload,
+        until: Instant,
+        mut withdrawal: Withdrawal,
+    ) -> Ended<Answer> {
         let (mut attempt, mut next, mut at_hand) = (Attempt::Choosing, Next::Choose, None);
         loop {
             next = match next {
@@ -234,12 +241,22 @@
                         None => OnAttempt::NoneQuiet { room: self.make_room(node) },
                     })
                 }
-                Next::Dial => {
-                    at_hand = self.dial(node).await;
-                    attempt.on(if at_hand.is_some() { OnAttempt::Connected } else { OnAttempt::NotConnected })
-                }
+                Next::Dial => tokio::select! {
+                    biased;
+                    outcome = withdrawal.comes() => attempt.on(OnAttempt::Withdrawn(outcome)),
+                    conn = self.dial(node) => {
+                        at_hand = conn;
+                        let up = at_hand.is_some();
+                        attempt.on(if up { OnAttempt::Connected } else { OnAttempt::NotConnected })
+                    }
+                },
                 Next::Send => match at_hand.take() {
-                    Some(mut conn) => match self.send(&mut conn, payload, until).await {
+                    Some(mut conn) => match self.send(&mut conn, payload, until, &withdrawal).await {
+                        // Of what was written nothing is taken back.
+                        Err(Doubt::Untouched) => attempt.on(match withdrawal.outcome() {
+                            Some(outcome) => OnAttempt::Withdrawn(outcome),
+                            None => OnAttempt::Broke(Doubt::Untouched),
+                        }),
                         Err(doubt) => attempt.on(OnAttempt::Broke(doubt)),
                         Ok(mut ended) => {
                             attempt.on(OnAttempt::Answered(ended.outcome));
@@ -303,7 +320,13 @@
         Some(Conn { sender, task, socket, wire, place, cell, _place: table })
     }
 
-    async fn send(&self, conn: &mut Conn, payload: &Payload, until: Instant) -> Result<Ended<Answer>, Doubt> {
+    async fn send(
+        &self,
+        conn: &mut Conn,
+        payload: &Payload,
+        until: Instant,
+        withdrawal: &Withdrawal,
+    ) -> Result<Ended<Answer>, Doubt> {
         conn.sender.ready().await.map_err(|_| Doubt::Untouched)?;
         let mut request = Request::new(Full::new(payload.body.clone()));
         *request.method_mut() = payload.method.clone();
@@ -317,7 +340,7 @@
             headers.insert(REMAINING, left);
         }
         let (wire, cell) = (Rc::clone(&conn.wire), conn.cell);
-        wire.expect(payload.body.len(), payload.figures.clone());
+        wire.expect(payload.body.len(), payload.figures.clone(), withdrawal.clone());
         // What comes ahead of an answer is none of it.
         let answers = Arc::clone(&wire.answers);
         on_informational(&mut request, move |_| {
@@ -342,24 +365,24 @@
 }
 
 /// An answer with its body. Whatever is not framed beyond doubt and within bounds is spoilt: it may have run, and
-/// there is no answer to pass on. A served answer whose body is long, or in chunks, is passed on as it comes, where
+/// there is no answer to pass on. A served answer whose body is long, or of unknown length, is passed on as it comes, where
 /// the front takes such answers.
 async fn whole(response: Response<Incoming>, accepts: Accepts, cell: CellId) -> Result<Ended<Answer>, Doubt> {
     let headers = response.headers();
     let (sized, coded) = (headers.contains_key(CONTENT_LENGTH), headers.contains_key(TRANSFER_ENCODING));
     let size = response.body().size_hint();
-    // A body that only the connection's end would end may lack its rest, and nobody could tell.
-    let endless = size.exact().is_none() && !coded;
+    // A body without a length ends with its connection. A reset is no end: then the rest is lacking.
+    let open_ended = size.exact().is_none();
     let (outcome, seen_use, foreign_units) = read_head(&response, accepts);
-    let long = coded || size.lower() > MOST_BODY as u64;
-    if response.status().is_informational() || (sized && coded) || endless || size.lower() > MOST_STREAMED {
+    let long = open_ended || size.lower() > MOST_BODY as u64;
+    if response.status().is_informational() || (sized && coded) || size.lower() > MOST_STREAMED {
         return Err(Doubt::MayHaveRun);
     }
     if long && outcome == Outcome::Done && accepts == Accepts::Served {
         let (head, mut body) = response.into_parts();
         let mut first = BytesMut::new();
-        // A body in chunks may be short after all; then it is whole like any other.
-        while coded && first.len() <= MOST_BODY {
+        // It may be short after all; then it is whole like any other.
+        while open_ended && first.len() <= MOST_BODY {
             match body.frame().await {
                 None => {
                     let answer = Answer {
@@ -487,6 +510,8 @@
     came: Notify,
     /// Where the present request is counted once its last byte is written.
     figures: RefCell<Option<ClassFigures>>,
+    /// Whether the present request is still wanted.
+    withdrawal: RefCell<Option<Withdrawal>>,
 }
 
 const HEAD_END: &[u8; 4] = b"\r\n\r\n";
@@ -502,8 +527,9 @@
         self.link.get().doubt()
     }
 
-    fn expect(&self, body: usize, figures: Option<ClassFigures>) {
+    fn expect(&self, body: usize, figures: Option<ClassFigures>, withdrawal: Withdrawal) {
         *self.figures.borrow_mut() = figures;
+        *self.withdrawal.borrow_mut() = Some(withdrawal);
         self.on(OnLink::HandedOver);
         self.matched.set(0);
         self.body_left.set(body);
@@ -534,12 +560,13 @@
         }
     }
 
-    /// Looks at the socket first: what waits there is no answer to what has not been written, and where the node
+    /// Nothing of a request is begun that nobody wants. Looks at the socket first: what waits there is no answer to what has not been written, and where the node
     /// has ended the connection, nothing of the request need be risked on it.
     fn may_write(&self, socket: i32) -> bool {
         let mut link = self.link.get();
         let waits = recv(socket, &mut [0], MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT).is_ok();
-        let may = link.may_write(waits);
+        let withdrawn = self.withdrawal.borrow().as_ref().is_some_and(|w| w.outcome().is_some());
+        let may = link.may_write(waits, withdrawn);
         self.link.set(link);
         may
     }
@@ -650,11 +677,11 @@
                 })
             };
             let server = answering(listener.try_clone().expect("another handle"), "good");
-            let first = upstream.attempt(node, Rc::clone(&payload), until).await;
+            let first = upstream.attempt(node, Rc::clone(&payload), until, Withdrawal::never()).await;
             let mut stream = server.join().expect("it answered");
             stream.write_all(say("copy").as_bytes()).expect("written");
             let server = answering(listener, "well");
-            let second = upstream.attempt(node, payload, until).await;
+            let second = upstream.attempt(node, payload, until, Withdrawal::never()).await;
             drop(server);
             [first, second].map(|e| e.answer.map(|a| a.body))
         });
@@ -678,7 +705,7 @@
                 }
                 stream.readable().await.expect("what the node sent is there");
                 let wire = Rc::new(Wire::default());
-                wire.expect(0, None);
+                wire.expect(0, None, Withdrawal::never());
                 let mut watched = Watched { stream, wire: Rc::clone(&wire) };
                 let request = b"GET /api HTTP/1.1\r\n\r\n";
                 let wrote = std::future::poll_fn(|cx| Pin::new(&mut watched).poll_write(cx, request)).await;
