Shut no connection on which a request has begun to come; end by what the settings' kill allows

Lines at fault, all in src/listener.rs and src/framing.rs as they were: - connection(): at the end hyper shut every connection without an open request, half a request included, and one whose request lay on the socket unread. Now a request that has begun to come is read on and answered. - serve(): the last zero-time accept asks the runtime, which hears of a connection after the system does; the queue itself is asked now, until it is empty. - accept_one(): client.gone cut a connection in the same poll in which hyper could have read a request. It is asked again whether anything has come, in that moment. - an answer handed to hyper counted as written: its last byte may wait for a slow client. Now it is owed until the socket is flushed, and so are bytes still to be read over which a close would be a reset. - Framed, Reading::Whole: with bytes behind a request nothing more was read, so the client's end was not seen. - Leaving: 3.1 s and 3.4 s after SIGTERM are past the kill where the longest deadline is under 2.7 s.

Also: what names the piece of data to a chunk server (the cookie, and Idempotency-Key) is passed on.

--- a/crates/checker/src/entrance.rs
+++ b/crates/checker/src/entrance.rs
@@ -22,6 +22,8 @@
 /// From connecting until the first request is whole, and from the first byte of a later one until it is.
 const FIRST: Nanos = 3_000 * MS;
 const LATER: Nanos = 6_000 * MS;
+/// The longest deadline of a request.
+const LONGEST: Nanos = 3_000 * MS;
 /// After SIGTERM everything is over by then.
 const END: Nanos = 3_400 * MS;
 
@@ -222,7 +224,8 @@
                 steps.push(Step::BodyTimeUp(n));
             }
             let drains = matches!(state.life, Life::Leaving(_, Leave::Wait(_), _));
-            if drains && matches!(phase, Phase::Idle | Phase::Silent) && line.read == line.sent {
+            let shut = matches!(phase, Phase::Silent | Phase::Head | Phase::Body | Phase::Idle);
+            if drains && shut && !visitor.is_arriving(state.now, state.busy(n)) {
                 steps.push(Step::Graceful(n));
             }
         }
@@ -370,7 +373,12 @@
                 self.on(n, OnVisitor::Answered);
                 self.end(n);
             }
-            Step::Drained(n) | Step::Graceful(n) => self.close(n),
+            Step::Drained(n) => self.close(n),
+            Step::Graceful(n) => {
+                let begun = self.lines.get(&n).is_some_and(|l| l.sent > Sent::Nothing);
+                self.broken.closed_across_request |= begun;
+                self.close(n);
+            }
             Step::Look => {
                 let over: Vec<u64> = self.visitors.keys().copied().filter(|n| self.is_over(*n)).collect();
                 for n in over {
@@ -383,7 +391,7 @@
                 self.now += CLOCK[by];
             }
             Step::Term => {
-                let (leaving, next) = Leaving::new(self.now);
+                let (leaving, next) = Leaving::new(self.now, LONGEST);
                 self.told = self.now;
                 self.life = Life::Leaving(leaving, next, self.now);
             }
@@ -437,11 +445,14 @@
 
     fn leave_look(&mut self) {
         let Life::Leaving(mut leaving, ..) = self.life else { return };
-        let open = self.visitors.values().filter(|v| v.phase().0 == Phase::Open).count();
+        let owed = |(n, v): (&u64, &Visitor)| v.is_owed(self.now, self.busy(*n));
+        let open = self.visitors.iter().filter(|entry| owed(*entry)).count();
         let next = leaving.on(self.now, OnLeaving::Look { held: self.visitors.len(), open });
         if next == Leave::Exit {
             self.life = Life::Over;
-            self.broken.left_with_open_request |= open > 0 && self.now < self.told + END;
+            let taken = |l: &Line| l.sent > Sent::Nothing && !l.ended;
+            let taken = self.lines.values().any(taken);
+            self.broken.left_with_open_request |= taken && self.now < self.told + END;
         } else {
             self.life = Life::Leaving(leaving, next, self.now);
         }
--- a/crates/core/src/door.rs
+++ b/crates/core/src/door.rs
@@ -18,16 +18,23 @@
 const SILENT: Nanos = 100 * MS;
 const IDLE_SHORT: Nanos = 2_000 * MS;
 const HALF: Nanos = 500 * MS;
+/// A connection that has just come is about to say something.
+const FRESH: Nanos = 150 * MS;
 /// After SIGTERM new connections are taken until none has come for the first, for no less than the second and no
 /// more than the third; clients learn of a restart that late.
 const QUIET: Nanos = 200 * MS;
 const TAKE_LEAST: Nanos = 450 * MS;
 const TAKE_MOST: Nanos = 650 * MS;
-/// All that was taken is answered by this time after SIGTERM, well before the kill: a class may have a deadline of any
-/// length, and the kill waits for 3 s of it and 0.7 s more.
-pub const ANSWERED: Nanos = 3_100 * MS;
-/// The front has ended by this time after SIGTERM, whatever is still open.
-const END: Nanos = 3_400 * MS;
+/// The kill comes no sooner after SIGTERM than the longest deadline, of which it waits for the first at the most, and
+/// the second more.
+const KILL_DEADLINE: Nanos = 3_000 * MS;
+const KILL_MORE: Nanos = 700 * MS;
+/// All that was taken is answered by the first before the kill, and the front has ended by the second before it,
+/// whatever is still open. Both are wider where there is time for it.
+const ANSWERED_BEFORE: Nanos = 250 * MS;
+const END_BEFORE: Nanos = 100 * MS;
+const ANSWERED_MOST: Nanos = 3_100 * MS;
+const END_MOST: Nanos = 3_400 * MS;
 /// How often the front looks whether it may end, and for how many looks in a row nothing must be open: a request
 /// may be on its way into this process still, while a connection that is idle closes by itself.
 const LOOK: Nanos = 20 * MS;
@@ -129,6 +136,36 @@
         }
     }
 
+    /// Whether a request is on its way on it, or may be: a front that leaves shuts it only once that is answered.
+    /// `waits` says that bytes lie on the socket, or an answer is not with the system yet.
+    pub fn is_arriving(&self, now: Nanos, waits: bool) -> bool {
+        if seeded(Bug::ShutsAcrossArriving) {
+            return false;
+        }
+        match self.phase {
+            Phase::Head | Phase::Body => true,
+            Phase::Silent => waits || now - self.came < FRESH,
+            Phase::Idle => waits,
+            Phase::Open | Phase::Closing => false,
+        }
+    }
+
+    /// Whether something is owed on it: a request that is coming or open, an answer on its way out, or bytes still
+    /// to be read, over which a close would reset it.
+    pub fn is_owed(&self, now: Nanos, waits: bool) -> bool {
+        self.is_arriving(now, waits) || matches!(self.phase, Phase::Open | Phase::Closing)
+    }
+
+    /// Whether it may be cut off here and now, as it was told to go: what has come since is not crossed. Half a
+    /// request that goes on dripping ends all the same.
+    pub fn may_be_cut(&self, now: Nanos, waits: bool) -> bool {
+        match self.phase {
+            Phase::Open => false,
+            Phase::Head | Phase::Body => !waits || now >= self.limit() + HALF,
+            Phase::Silent | Phase::Idle | Phase::Closing => !waits,
+        }
+    }
+
     /// How soon it gives its place up, the lowest first; none where it may be kept. With `idle` only connections
     /// that stand idle are asked for.
     fn rank(&self, now: Nanos, idle: bool) -> Option<u8> {
@@ -222,6 +259,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Leaving {
     told: Nanos,
+    /// All that was taken is answered by then, and the front has ended by the second.
+    answered: Nanos,
+    end: Nanos,
     /// Looks in a row at which nothing was open.
     quiet: u32,
     stage: Stage,
@@ -245,7 +285,8 @@
     Look {
         /// Connections.
         held: usize,
-        /// Requests that are being answered.
+        /// Those on which something is owed: a request that has begun to come or is being answered, an answer whose
+        /// last byte is not with the system, bytes that would turn the end into a reset.
         open: usize,
     },
 }
@@ -264,10 +305,18 @@
 }
 
 impl Leaving {
-    /// Told to leave now: new connections go on coming until clients learn of the restart, and what they carry
+    /// Told to leave now, where the longest deadline of a request is so long: new connections go on coming until clients learn of the restart, and what they carry
     /// counts as taken.
-    pub fn new(now: Nanos) -> (Leaving, Leave) {
-        (Leaving { told: now, quiet: 0, stage: Stage::Taking }, Leave::Take(QUIET))
+    pub fn new(now: Nanos, longest_deadline: Nanos) -> (Leaving, Leave) {
+        let kill = longest_deadline.clamp(0, KILL_DEADLINE) + KILL_MORE;
+        let answered = now + (kill - ANSWERED_BEFORE).min(ANSWERED_MOST);
+        let end = now + (kill - END_BEFORE).min(END_MOST);
+        (Leaving { told: now, answered, end, quiet: 0, stage: Stage::Taking }, Leave::Take(QUIET))
+    }
+
+    /// All that was taken, and is yet to be, is answered by then.
+    pub fn answered_by(&self) -> Nanos {
+        self.answered
     }
 
     /// Looks in a row at which nothing was open.
@@ -290,7 +339,7 @@
             }
             (Stage::Draining, OnLeaving::Look { held, open }) => {
                 self.quiet = if open == 0 || seeded(Bug::LeavesOpenRequests) { self.quiet + 1 } else { 0 };
-                if held == 0 || self.quiet > LOOKS || since >= END {
+                if held == 0 || self.quiet > LOOKS || now >= self.end {
                     self.stage = Stage::Over;
                     Leave::Exit
                 } else {
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -323,6 +323,10 @@
 struct Control(Rc<Agent>);
 
 impl Handler for Control {
+    fn longest(&self) -> Duration {
+        GRACE
+    }
+
     async fn answer(&self, request: Taken, _leaving: bool) -> Reply {
         if let Err(status) = *request.body() {
             return plain(status, "the request is not taken");
--- a/src/framing.rs
+++ b/src/framing.rs
@@ -23,6 +23,8 @@
 pub const MOST_HEAD: usize = 16 * 1024;
 /// Fields of a head, as hyper takes them.
 const MOST_FIELDS: usize = 100;
+/// Bytes behind a request that are read and dropped while it is answered; a client that sends more waits.
+const MOST_DROPPED: usize = 8 << 20;
 /// What is known of a client's connection.
 pub struct Client {
     visitor: Cell<Visitor>,
@@ -30,8 +32,8 @@
     began: Instant,
     fault: Cell<Option<StatusCode>>,
     last: Cell<bool>,
-    /// Whether a part of an answer waits for the client to read.
-    unread: Cell<bool>,
+    /// Whether a part of an answer is not with the system yet.
+    unwritten: Cell<bool>,
     /// Lives as long as the connection has its place.
     socket: i32,
     /// Told when the connection must go.
@@ -46,7 +48,7 @@
             began,
             fault: Cell::new(None),
             last: Cell::new(false),
-            unread: Cell::new(false),
+            unwritten: Cell::new(false),
             socket,
             gone: Notify::new(),
         })
@@ -60,8 +62,14 @@
     /// Tells what has happened on it.
     pub fn on(&self, event: OnVisitor) {
         let mut visitor = self.visitor.get();
-        visitor.on(self.began.elapsed().as_nanos() as Nanos, event);
+        visitor.on(self.now(), event);
         self.visitor.set(visitor);
+        // What has been handed over is written once it has been flushed; what has ended is written.
+        match event {
+            OnVisitor::Answered => self.unwritten.set(true),
+            OnVisitor::Ended => self.unwritten.set(false),
+            _ => {}
+        }
     }
 
     /// When the present request must have come whole.
@@ -71,9 +79,32 @@
 
     /// Whether closing it now would cross a request that has come, or cut an answer off.
     pub fn is_busy(&self) -> bool {
+        self.phase() == Phase::Idle && self.waits()
+    }
+
+    /// Whether bytes lie on the socket that nobody has read, or a part of an answer is not with the system.
+    fn waits(&self) -> bool {
         let peek = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
-        let idle = self.phase() == Phase::Idle;
-        idle && (self.unread.get() || recv(self.socket, &mut [0], peek).is_ok_and(|count| count > 0))
+        self.unwritten.get() || recv(self.socket, &mut [0], peek).is_ok_and(|count| count > 0)
+    }
+
+    /// Whether a request is on its way on it: see [`Visitor::is_arriving`].
+    pub fn is_arriving(&self) -> bool {
+        self.visitor().is_arriving(self.now(), self.waits())
+    }
+
+    /// Whether something is owed on it: see [`Visitor::is_owed`].
+    pub fn is_owed(&self) -> bool {
+        self.visitor().is_owed(self.now(), self.waits())
+    }
+
+    /// Whether it may be cut off in this moment: see [`Visitor::may_be_cut`].
+    pub fn may_be_cut(&self) -> bool {
+        self.visitor().may_be_cut(self.now(), self.waits())
+    }
+
+    fn now(&self) -> Nanos {
+        self.began.elapsed().as_nanos() as Nanos
     }
 
     /// When it came.
@@ -119,6 +150,8 @@
     reading: Reading,
     /// Whether some of the answer to the present request has been written.
     answered: bool,
+    /// Bytes behind the present request that were dropped.
+    dropped: usize,
 }
 
 impl Framed {
@@ -132,6 +165,7 @@
             free: 0,
             reading: Reading::Head,
             answered: false,
+            dropped: 0,
         }
     }
 
@@ -234,13 +268,17 @@
                         continue;
                     }
                     // Only the end is of interest now. Bytes that a client sends before it has its answer are
-                    // no request of its own; the connection ends with this answer.
-                    if framed.client.last.get() {
+                    // no request of its own; the connection ends with this answer. They are read and dropped, so
+                    // that the end behind them is seen: who sends much at once and goes has gone.
+                    framed.held.clear();
+                    if framed.dropped >= MOST_DROPPED {
                         return Poll::Pending;
                     }
-                    if ready!(framed.more(cx))? == 0 {
+                    let count = ready!(framed.more(cx))?;
+                    if count == 0 {
                         return Poll::Ready(Ok(()));
                     }
+                    framed.dropped += count;
                     framed.client.last.set(true);
                 }
                 Reading::Rest => {
@@ -256,15 +294,16 @@
 
 impl AsyncWrite for Framed {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.write).poll_write(cx, buf);
-        self.client.unread.set(done.is_pending());
-        let count = ready!(done)?;
+        let count = ready!(Pin::new(&mut self.write).poll_write(cx, buf))?;
         self.answered |= matches!(self.reading, Reading::Whole) && count > 0;
         Poll::Ready(Ok(count))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.write).poll_flush(cx)
+        ready!(Pin::new(&mut self.write).poll_flush(cx))?;
+        // hyper flushes the socket once it holds nothing back itself.
+        self.client.unwritten.set(false);
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -25,7 +25,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
-use tulipbridge_core::door::{Accept, Door, Leave, Leaving, OnLeaving, OnVisitor, Phase, ANSWERED};
+use tulipbridge_core::door::{Accept, Door, Leave, Leaving, OnLeaving, OnVisitor, Phase};
 use tulipbridge_core::Nanos;
 
 use crate::framing::{Answering, Client, Framed, Open, MOST_HEAD};
@@ -42,6 +42,8 @@
 /// without a byte: closing on bytes that were not read would reset it, and could take the answer along.
 const DRAIN: Duration = Duration::from_secs(4);
 const DRAIN_QUIET: Duration = Duration::from_millis(500);
+/// How often a front that leaves looks whether what was on its way has come.
+const ARRIVING: Duration = Duration::from_millis(5);
 /// Bytes that are dropped at once.
 const DROPPED: usize = 64 * 1024;
 /// The longest body of a request.
@@ -72,6 +74,9 @@
 
     /// The front ends: all that was taken and is yet to be is answered within this time.
     fn leave(&self, _within: Duration) {}
+
+    /// The longest time that a client may wait for its answer.
+    fn longest(&self) -> Duration;
 }
 
 /// A front's socket, its connections and its leaving.
@@ -116,8 +121,9 @@
             () = signal => {}
         }
         self.taking.set(false);
-        self.handler.leave(duration(ANSWERED));
-        let (mut leaving, mut next) = Leaving::new(self.now());
+        let told = self.now();
+        let (mut leaving, mut next) = Leaving::new(told, self.handler.longest().as_nanos() as Nanos);
+        self.handler.leave(duration(leaving.answered_by() - told));
         loop {
             next = match next {
                 Leave::Take(within) => {
@@ -129,11 +135,11 @@
                 Leave::Wait(_) | Leave::Exit => return,
             };
         }
-        while timeout(Duration::ZERO, self.accept_one(&listener)).await.is_ok() {}
-        drop(listener);
+        self.take_the_last(listener);
         self.leaving.send_replace(true);
         loop {
-            let look = OnLeaving::Look { held: self.held(), open: self.requests.get() };
+            let owed = self.clients.borrow().values().filter(|c| c.is_owed()).count();
+            let look = OnLeaving::Look { held: self.held(), open: owed.max(self.requests.get()) };
             match leaving.on(self.now(), look) {
                 Leave::Wait(time) => sleep(duration(time)).await,
                 Leave::Exit | Leave::Take(_) | Leave::Close => return,
@@ -156,6 +162,18 @@
         }
     }
 
+    /// Takes what waits in the socket's queue and closes it. The queue itself is asked, until it is empty: the runtime
+    /// hears of a connection later than the system, and one that is left in the queue would be reset.
+    fn take_the_last(self: &Rc<Self>, listener: TcpListener) {
+        let Ok(listener) = listener.into_std() else { return };
+        while let Ok((stream, _)) = listener.accept() {
+            let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+            if let Ok(stream) = stream {
+                self.welcome(stream);
+            }
+        }
+    }
+
     async fn accept_one(self: &Rc<Self>, listener: &TcpListener) {
         let mut tried = None;
         loop {
@@ -171,23 +189,7 @@
             }
         }
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let (server, client, number) =
-                    (Rc::clone(self), Client::new(stream.as_raw_fd(), self.began), self.next.get());
-                self.next.set(number + 1);
-                let full = self.door.is_full(self.held());
-                if full {
-                    self.say_full();
-                }
-                self.clients.borrow_mut().insert(number, Rc::clone(&client));
-                tokio::task::spawn_local(async move {
-                    tokio::select! {
-                        () = server.connection(stream, &client, full) => {}
-                        () = client.gone.notified() => {}
-                    }
-                    server.clients.borrow_mut().remove(&number);
-                });
-            }
+            Ok((stream, _)) => self.welcome(stream),
             // Out of descriptors, or a client that left in the queue. Waiting lets others close.
             Err(why) => {
                 log!("cannot accept: {why}");
@@ -196,6 +198,37 @@
         }
     }
 
+    /// Gives a connection its place and serves it.
+    fn welcome(self: &Rc<Self>, stream: TcpStream) {
+        let (server, client, number) =
+            (Rc::clone(self), Client::new(stream.as_raw_fd(), self.began), self.next.get());
+        self.next.set(number + 1);
+        let full = self.door.is_full(self.held());
+        if full {
+            self.say_full();
+        }
+        self.clients.borrow_mut().insert(number, Rc::clone(&client));
+        tokio::task::spawn_local(async move {
+            {
+                let mut connection = std::pin::pin!(server.connection(stream, &client, full));
+                loop {
+                    tokio::select! {
+                        biased;
+                        () = client.gone.notified() => {
+                            if client.may_be_cut() {
+                                break;
+                            }
+                            // Something has come since it was told to go. It keeps its place.
+                            server.clients.borrow_mut().entry(number).or_insert_with(|| Rc::clone(&client));
+                        }
+                        () = connection.as_mut() => break,
+                    }
+                }
+            }
+            server.clients.borrow_mut().remove(&number);
+        });
+    }
+
     /// Sends off the connection that is of least use, if any may be spared.
     fn make_room(&self, idle: bool) -> bool {
         let mut clients = self.clients.borrow_mut();
@@ -247,7 +280,7 @@
             let reply = self.answer(request, client, full).await;
             Ok::<_, Infallible>(reply.map(|body| Answering::new(body, open)))
         });
-        let mut leaving = self.leaving.subscribe();
+        let leaving = self.leaving.subscribe();
         {
             let connection = http1::Builder::new()
                 .keep_alive(!full)
@@ -256,9 +289,11 @@
                 .serve_connection(TokioIo::new(framed), service);
             tokio::pin!(connection);
             // How a client's connection ends is the client's affair; requests in it have told the exchange.
+            // What has come is read before it is asked whether anything has.
             tokio::select! {
+                biased;
                 _ = connection.as_mut() => {}
-                _ = leaving.wait_for(|l| *l) => {
+                () = may_shut(client, leaving) => {
                     connection.as_mut().graceful_shutdown();
                     let _ = connection.await;
                 }
@@ -329,6 +364,17 @@
     }
 }
 
+/// Returns once the front leaves and nothing is on its way on this connection: with the answer to an open request it
+/// ends by itself.
+async fn may_shut(client: &Client, mut leaving: watch::Receiver<bool>) {
+    if leaving.wait_for(|l| *l).await.is_err() {
+        return std::future::pending().await;
+    }
+    while client.is_arriving() {
+        sleep(ARRIVING).await;
+    }
+}
+
 /// Reads a body: 413 where it is larger than any request's, 503 where memory for bodies is short, 400 where it
 /// breaks off, 408 where it does not begin by `until` or stands still for [`BODY_GAP`]. A slow client may take long
 /// for a long body, as long as it goes on sending.
--- a/src/object/mod.rs
+++ b/src/object/mod.rs
@@ -153,6 +153,10 @@
         self.0.exchange.leave(within);
     }
 
+    fn longest(&self) -> Duration {
+        self.0.exchange.longest_deadline()
+    }
+
     async fn answer(&self, request: Taken, leaving: bool) -> Reply {
         let (method, path) = (request.method().clone(), request.uri().path().to_owned());
         match (&method, path.as_str()) {
--- a/src/server.rs
+++ b/src/server.rs
@@ -8,7 +8,7 @@
 
 use http_body_util::channel::Channel;
 use http_body_util::{BodyExt, Either, Full};
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, COOKIE};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, COOKIE};
 use hyper::{Method, Response, StatusCode};
 use tulipbridge_core as core;
 use tulipbridge_core::tune::Table;
@@ -98,6 +98,10 @@
         self.exchange.leave(within);
     }
 
+    fn longest(&self) -> Duration {
+        self.exchange.longest_deadline()
+    }
+
     async fn answer(&self, request: Taken, leaving: bool) -> Reply {
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/health/ready") if leaving => plain(StatusCode::SERVICE_UNAVAILABLE, "leaving"),
@@ -137,7 +141,7 @@
             return Err(plain(StatusCode::CONFLICT, "X-Txn names a request that is open"));
         }
         let _open = OpenId { open: &self.open, id };
-        let (headers, accepts) = (HeaderMap::new(), Accepts::Served);
+        let (headers, accepts) = (kept(&head.headers), Accepts::Served);
         let id = head.headers.get(TXN).cloned().unwrap_or(HeaderValue::from_static(""));
         let figures = self.names.borrow().figures.get(request.class).cloned();
         let payload =
@@ -151,6 +155,21 @@
     }
 }
 
+/// What a chunk server tells a repeat by: the piece of data that a request is about, which the cookie names, and the
+/// key that a client gives for it.
+const KEPT: [HeaderName; 2] = [COOKIE, HeaderName::from_static("idempotency-key")];
+
+/// What of a client's fields goes on to the chunk server, beside its id.
+fn kept(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = HeaderMap::new();
+    for name in KEPT {
+        for value in headers.get_all(&name) {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
 /// Pieces of a long body that stand between the chunk server and the client; the server is read no faster than the
 /// client takes them.
 const PIECES: usize = 2;
