Force rare moments on sockets: the end of a front, clients that go, watches, answers without length

Scenarios hold back a byte, an answer, a listening queue or the program itself (SIGSTOP) until it is at the point.

--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -17,7 +17,18 @@
 //! - `send console GET /status/metrics app_conf`: one call at the operators' console, and its answer (of figures, the
 //!   lines that hold the text given)
 //! - `close c1`: closes a client, a server's oldest request, discovery's watch, the front's log; `close front`: SIGTERM
-//! - `wait 50`: milliseconds; `wait front`: until it has ended
+//! - `wait 50`: milliseconds; `wait front`: until it has ended; `wait shut`: until it takes no connections any more
+//! - `settings FROM => TO`, ahead of all other lines: the front starts with the first FROM in its file made TO
+//! - `signal HUP`: any signal to the front, and no more; `STOP` and `CONT` hold it still while other things happen
+//! - `slow c1`: a client that connects and takes in little at a time
+//! - `await app_cluster_unhealthy 1`: until the console shows that line among its figures
+//! - `half-close c1`, `reset c1`, `reset s0`, `reset d`: ends the sending of a client; a connection goes with a reset
+//! - `end s0`, `break s0`: the connection of the oldest `raw` answer ends, or goes with a reset
+//! - `full s0`: connections to the server do not come up; `free s0`: they do again, those that wait included
+//! - `call d`: discovery takes a call and does not answer it; `answer d`: it answers the oldest of these
+//! - `drip d`: one byte of a message after another on the watch, until the front calls anew; that call is answered
+//! - `send d indented Ready 0`: a change over many lines; `down d`, `up d`: discovery refuses connections, or takes them
+//! - `within 5700 STEP`: a step that must be over by then, in milliseconds
 //!
 //! What was seen is the transcript, kept as a snapshot.
 #![allow(dead_code)]
@@ -26,10 +37,15 @@
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use nix::sys::socket::{
+    connect, listen, setsockopt, socket, sockopt, AddressFamily, Backlog, SockFlag, SockType, SockaddrIn,
+};
+
 /// How long a step may take before the scenario has failed.
 const LONG: Duration = Duration::from_secs(10);
 const SETTINGS: &str = include_str!("settings.json");
@@ -59,6 +75,8 @@
     held: VecDeque<Wire>,
     /// Kept open, and of no further use.
     spoilt: Vec<Wire>,
+    /// What fills the queue of its socket.
+    fillers: Vec<TcpStream>,
 }
 
 struct Wire {
@@ -86,6 +104,10 @@
     discovery: TcpListener,
     config: String,
     watch: Option<Wire>,
+    /// Calls at discovery that are not answered.
+    calls: VecDeque<Wire>,
+    /// Where discovery is, while it is down.
+    down: Option<SocketAddr>,
     generation: u32,
     requests: u32,
     /// What `$NAME` stands for in later lines.
@@ -95,8 +117,10 @@
 
 /// Runs a scenario at a front with so many chunk servers.
 pub fn run(kind: Front, servers: usize, script: &str) -> String {
-    let mut world = World::new(kind, servers);
-    for line in script.lines().map(str::trim).filter(|l| !l.is_empty()) {
+    let lines = || script.lines().map(str::trim).filter(|l| !l.is_empty());
+    let changed = lines().map_while(|l| l.strip_prefix("settings ")?.split_once(" => ")).collect::<Vec<_>>();
+    let mut world = World::with(kind, servers, &changed);
+    for line in lines().filter(|l| !l.starts_with("settings ")) {
         world.step(line);
     }
     std::mem::take(&mut world.seen)
@@ -104,9 +128,20 @@
 
 impl World {
     pub fn new(kind: Front, servers: usize) -> World {
+        World::with(kind, servers, &[])
+    }
+
+    /// A front whose file has the first of each pair made the second.
+    pub fn with(kind: Front, servers: usize, changed: &[(&str, &str)]) -> World {
         let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
         let servers: Vec<Server> = (0..servers)
-            .map(|_| Server { listener: bind(), open: Vec::new(), held: VecDeque::new(), spoilt: Vec::new() })
+            .map(|_| Server {
+                listener: bind(),
+                open: Vec::new(),
+                held: VecDeque::new(),
+                spoilt: Vec::new(),
+                fillers: Vec::new(),
+            })
             .collect();
         let discovery = bind();
         let folder = std::env::temp_dir().join(format!(
@@ -125,6 +160,10 @@
             entries.join(","),
         );
         let config = config.replace("\"Shards\": 10", &format!("\"Shards\": {}", servers.len()));
+        let config = changed.iter().fold(config, |config, (from, to)| {
+            assert!(config.contains(from), "no {from} in the file");
+            config.replacen(from, to, 1)
+        });
         let file = folder.join("config.json");
         std::fs::write(&file, &config).expect("written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_tulipbridge"));
@@ -158,6 +197,8 @@
             discovery,
             config,
             watch: None,
+            calls: VecDeque::new(),
+            down: None,
             generation: 1,
             requests: 0,
             kept: HashMap::new(),
@@ -184,11 +225,57 @@
             }
             ("send", _, None) => self.ask(who, &rest),
             ("expect", "d", _) => {
-                let mut wire = accept(&self.discovery);
-                let watch = wire.message(false).expect("a watch");
-                let _ = writeln!(self.seen, "d < {}", watch.first);
-                wire.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-                self.watch = Some(wire);
+                let wire = accept(&self.discovery);
+                self.called(wire);
+                let latest = self.calls.pop_back();
+                self.answer_call(latest);
+            }
+            ("call", "d", _) => {
+                let wire = accept(&self.discovery);
+                self.called(wire);
+            }
+            ("answer", "d", _) => {
+                let oldest = self.calls.pop_front();
+                self.answer_call(oldest);
+            }
+            ("drip", "d", _) => self.drip(),
+            ("down", "d", _) => {
+                let elsewhere = TcpListener::bind("127.0.0.1:0").expect("a free port");
+                self.down = std::mem::replace(&mut self.discovery, elsewhere).local_addr().ok();
+                self.watch = None;
+            }
+            ("up", "d", _) => {
+                let at = self.down.take().expect("it is down");
+                self.discovery = TcpListener::bind(at).expect("its port is free");
+            }
+            ("within", most, _) => {
+                let (most, began): (u64, _) = (most.parse().expect("a time"), Instant::now());
+                self.step(&rest);
+                let took = began.elapsed().as_millis();
+                assert!(took < u128::from(most), "'{rest}' took {took} ms; so far:\n{}", self.seen);
+            }
+            ("signal", name, _) => self.signal(&format!("-{name}")),
+            ("slow", _, _) => {
+                let wire = Wire::new(narrow(self.address));
+                self.clients.insert(who.to_owned(), wire);
+            }
+            ("half-close", _, None) => {
+                let wire = self.clients.get_mut(who).expect("a client");
+                wire.stream.shutdown(std::net::Shutdown::Write).expect("it is open");
+            }
+            ("reset", "d", _) => reset(self.watch.take().expect("a watch")),
+            ("reset", _, Some(at)) => reset(self.servers[at].held.pop_front().expect("a request")),
+            ("reset", _, None) => reset(self.clients.remove(who).expect("a client")),
+            ("end", _, Some(at)) => drop(self.servers[at].spoilt.remove(0)),
+            ("break", _, Some(at)) => reset(self.servers[at].spoilt.remove(0)),
+            ("full", _, Some(at)) => self.servers[at].fill(),
+            ("free", _, Some(at)) => self.servers[at].free(),
+            ("wait", "shut", _) => {
+                let until = Instant::now() + LONG;
+                while TcpStream::connect(self.address).is_ok() {
+                    assert!(Instant::now() < until, "it goes on taking connections");
+                    std::thread::sleep(Duration::from_millis(5));
+                }
             }
             ("crowd", count, _) => {
                 let said = rest.replace("\\r", "\r").replace("\\n", "\n");
@@ -238,6 +325,14 @@
                 }
             }
             ("close", "front", _) => self.signal("-TERM"),
+            ("await", _, _) => {
+                let wanted = told["await ".len()..].to_owned();
+                let until = Instant::now() + LONG;
+                while !self.console("GET", "/status/metrics").1.lines().any(|l| l == wanted) {
+                    assert!(Instant::now() < until, "no figure was '{wanted}'; so far:\n{}", self.seen);
+                    std::thread::sleep(Duration::from_millis(5));
+                }
+            }
             ("reload", _, _) => {
                 self.reload(told.strip_prefix("reload "));
             }
@@ -251,6 +346,7 @@
                 }
             }
             ("close", "d", _) => self.watch = None,
+            ("close", "crowd", _) => self.crowd.clear(),
             ("close", "log", _) => self.log = None,
             ("close", _, Some(at)) => drop(self.servers[at].held.pop_front().expect("a request")),
             ("close", _, None) => drop(self.clients.remove(who).expect("a client")),
@@ -263,6 +359,36 @@
         }
     }
 
+    fn called(&mut self, mut wire: Wire) {
+        let watch = wire.message(false).expect("a watch");
+        let _ = writeln!(self.seen, "d < {}", watch.first);
+        self.calls.push_back(wire);
+    }
+
+    fn answer_call(&mut self, call: Option<Wire>) {
+        let mut wire = call.expect("a call");
+        wire.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        self.watch = Some(wire);
+    }
+
+    /// A message without end, a byte every 100 ms, until the front has given it up and calls anew.
+    fn drip(&mut self) {
+        let mut watch = self.watch.take().expect("a watch");
+        let until = Instant::now() + LONG;
+        let message = format!("{{\"generation\":{:0>200}", self.generation);
+        for byte in message.bytes() {
+            if let Some(wire) = arrived(&self.discovery) {
+                self.called(wire);
+                let latest = self.calls.pop_back();
+                return self.answer_call(latest);
+            }
+            assert!(Instant::now() < until, "the watch is taken for one that stands");
+            watch.write(&[b"1\r\n", &[byte][..], b"\r\n"].concat());
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        panic!("the watch is taken for one that stands");
+    }
+
     fn signal(&self, signal: &str) {
         let pid = self.front.id().to_string();
         assert!(Command::new("kill").args([signal, &pid]).status().expect("kill").success());
@@ -300,15 +426,19 @@
         let mut words = rest.splitn(3, ' ');
         let (method, path) = (words.next().expect("a method"), words.next().expect("a path"));
         let shown = words.next();
-        let mut wire = Wire::new(TcpStream::connect(self.console).expect("the console takes connections"));
-        wire.write(format!("{method} {path} HTTP/1.1\r\nHost: t\r\nContent-Length: 0\r\n\r\n").as_bytes());
-        let answer = wire.message(false).expect("an answer");
-        let body = String::from_utf8_lossy(&answer.body);
+        let (first, body) = self.console(method, path);
         let body: Vec<&str> = match shown {
             Some(shown) => body.lines().filter(|l| l.contains(shown) && !l.starts_with('#')).collect(),
             None => body.lines().collect(),
         };
-        let _ = writeln!(self.seen, "console < {} | {}", answer.first, body.join(" / "));
+        let _ = writeln!(self.seen, "console < {first} | {}", body.join(" / "));
+    }
+
+    fn console(&self, method: &str, path: &str) -> (String, String) {
+        let mut wire = Wire::new(TcpStream::connect(self.console).expect("the console takes connections"));
+        wire.write(format!("{method} {path} HTTP/1.1\r\nHost: t\r\nContent-Length: 0\r\n\r\n").as_bytes());
+        let answer = wire.message(false).expect("an answer");
+        (answer.first, String::from_utf8_lossy(&answer.body).into_owned())
     }
 
     /// A client's request; the platform's headers are added where the line does not give them.
@@ -438,11 +568,18 @@
     }
 
     fn tell(&mut self, rest: &str) {
+        let (indented, rest) = match rest.strip_prefix("indented ") {
+            Some(rest) => (true, rest),
+            None => (false, rest),
+        };
         let (state, at) = rest.split_once(' ').expect("a state and a server");
         self.generation += 1;
         let entry = entry(&self.servers, at.parse().expect("a server"), state);
         let line =
             format!("{{\"generation\":{},\"reset\":false,\"instances\":[{entry}]}}\n", self.generation);
+        // The same over many lines, as some write it.
+        let line =
+            if indented { line.replace(',', ",\n    ").replace(":[{", ": [\n  {\n    ") } else { line };
         let wire = self.watch.as_mut().expect("a watch");
         wire.write(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes());
     }
@@ -542,14 +679,58 @@
     }
 }
 
+impl Server {
+    /// Connections to it do not come up: the queue of its socket holds one, and that place is taken.
+    fn fill(&mut self) {
+        listen(&self.listener, Backlog::new(0).expect("a length")).expect("settable");
+        let address = self.listener.local_addr().expect("bound");
+        self.fillers.push(TcpStream::connect(address).expect("the place is free"));
+    }
+
+    /// They do again, once they are asked for again.
+    fn free(&mut self) {
+        listen(&self.listener, Backlog::new(128).expect("a length")).expect("settable");
+        let own: Vec<_> = self.fillers.iter().filter_map(|f| f.local_addr().ok()).collect();
+        self.listener.set_nonblocking(true).expect("settable");
+        while let Ok((stream, from)) = self.listener.accept() {
+            if !own.contains(&from) {
+                stream.set_nonblocking(false).expect("settable");
+                self.open.push(Wire::new(stream));
+            }
+        }
+        self.fillers.clear();
+    }
+}
+
+/// A connection that takes in little at a time.
+fn narrow(address: SocketAddr) -> TcpStream {
+    let socket = socket(AddressFamily::Inet, SockType::Stream, SockFlag::empty(), None).expect("a socket");
+    setsockopt(&socket, sockopt::RcvBuf, &4096).expect("settable");
+    let SocketAddr::V4(address) = address else { panic!("{address} is of IPv4") };
+    connect(socket.as_raw_fd(), &SockaddrIn::from(address)).expect("it takes connections");
+    TcpStream::from(socket)
+}
+
+/// Ends a connection with a reset.
+fn reset(wire: Wire) {
+    let linger = nix::libc::linger { l_onoff: 1, l_linger: 0 };
+    setsockopt(&wire.stream, sockopt::Linger, &linger).expect("settable");
+}
+
+/// A connection that has come.
+fn arrived(listener: &TcpListener) -> Option<Wire> {
+    listener.set_nonblocking(true).expect("settable");
+    let (stream, _) = listener.accept().ok()?;
+    stream.set_nonblocking(false).expect("settable");
+    Some(Wire::new(stream))
+}
+
 /// The next connection; one that never comes has failed the scenario.
 fn accept(listener: &TcpListener) -> Wire {
-    listener.set_nonblocking(true).expect("settable");
     let until = Instant::now() + LONG;
     loop {
-        if let Ok((stream, _)) = listener.accept() {
-            stream.set_nonblocking(false).expect("settable");
-            return Wire::new(stream);
+        if let Some(wire) = arrived(listener) {
+            return wire;
         }
         assert!(Instant::now() < until, "no connection came");
         std::thread::sleep(Duration::from_millis(1));
