--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -191,8 +191,32 @@
         end s0
         expect c2";
 
+    // Another customer's settings.
+
+    what_a_server_tells_a_repeat_by_goes_on_and_a_repeat_keeps_to_its_window: Platform, 1, "
+        settings \"Semantics\": \"at_most_once\", \"Stream\": false, \"Window\": 5000000000 => \"Semantics\": \"deduplicated\", \"Stream\": false, \"Window\": 300000000
+        send c1 PUT /api X-Lane:form-submit Idempotency-Key:k-1 Range:bytes=0-1 | form
+        expect s0 cookie
+        close s0
+        expect s0 idempotency-key
+        send s0 200 | stored once
+        expect c1
+        send c1 PUT /api X-Lane:form-submit | form
+        expect s0 range
+        wait 350
+        close s0
+        expect c1";
+
     // The watch on discovery.
 
+    a_front_among_thousands_calls_before_its_list_counts_as_told: Platform, 1, "
+        settings \"Balancers\": 3 => \"Balancers\": 3000
+        within 5500 expect d";
+
+    where_lists_are_pushed_the_first_call_goes_out_at_once: Platform, 1, "
+        settings \"Discovery\": \"on_request\" => \"Discovery\": \"pushed\"
+        within 1000 expect d";
+
     a_watch_that_says_nothing_after_its_head_is_opened_anew_in_time: Platform, 1, "
         expect d
         within 5700 expect d";
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -5,6 +5,7 @@
 //! - `send c1 until s0 GET /path ..`: the same from a client that is told to come back (503 with Retry-After) and does,
 //!   until its request is at the server
 //! - `expect s0`: the next request at the server; `expect c1`: the next answer at the client
+//! - `expect s0 cookie`: the same, and that field of it
 //! - `expect s0 left`: the front gives up the oldest request that the server holds
 //! - `send s0 200 Name:value .. | body`: answers the oldest request that the server holds (`part` breaks off; `raw`
 //!   sends bytes, and nothing more comes on that connection; `unasked` sends them where nothing waits)
@@ -308,6 +309,9 @@
             ("expect", _, Some(at)) => {
                 let asked = self.arrives(at);
                 self.keep(&format!("{who} < "), &asked);
+                if !rest.is_empty() {
+                    let _ = writeln!(self.seen, "{who} < {rest}: {:?}", asked.headers.get(&rest));
+                }
             }
             ("expect", _, None) => {
                 let head = self.asked[who].starts_with("HEAD");
