--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -253,6 +253,8 @@
                 let (most, began): (u64, _) = (most.parse().expect("a time"), Instant::now());
                 self.step(&rest);
                 let took = began.elapsed().as_millis();
+                // Of how much of its bound a step takes, `--nocapture` tells.
+                eprintln!("{took} ms of {most}: {rest}");
                 assert!(took < u128::from(most), "'{rest}' took {took} ms; so far:\n{}", self.seen);
             }
             ("signal", name, _) => self.signal(&format!("-{name}")),
