Add a fault shim for tests, and three tests that fail for known faults

Cause: nothing in the project made system calls of a front fail, and a probe from outside found faults there. Change: crates/fault-shim is a library for LD_PRELOAD with rules in a file; scenarios gain faults, restart, load, await ready.

--- /dev/null
+++ b/crates/fault-shim/src/rules.rs
@@ -0,0 +1,122 @@
+//! The rules for faults: one a line, `CALL EFFECT PERCENT`.
+//!
+//! - `accept ECONNABORTED 30`: three in ten calls of `accept` fail with that error. `connect`, `socket`, `wait`
+//!   (`epoll_wait`), `lock` (`flock`), `open`, `rename`, `sync` (`fsync`), `file-read`, `file-write`, `recv` and `send`
+//!   likewise.
+//! - `recv short 50`, `send short 50`, `file-write short 100`: half of the calls transfer one byte at the most.
+//! - `send delay 20`: one call in five begins [`DELAY_MS`] later.
+//! - `clock 3600000 100`: the wall clock is ahead by that many milliseconds; a negative number is behind.
+
+/// The environment variable with the path of the rules.
+pub const RULES_VARIABLE: &str = "FAULT_SHIM_RULES";
+/// How much later a delayed call begins, in milliseconds.
+pub const DELAY_MS: u64 = 120;
+/// A rule with this percentage applies to every call.
+const ALWAYS: u32 = 100;
+
+/// A system call that can be made to fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// `accept` and `accept4`.
+    Accept,
+    /// `connect`.
+    Connect,
+    /// `socket`.
+    Socket,
+    /// `epoll_wait`.
+    Wait,
+    /// `recv`, and `read` or `readv` of a socket.
+    Receive,
+    /// `send`, and `write` or `writev` to a socket.
+    Send,
+    /// `open` of a file.
+    Open,
+    /// `read` of a file.
+    FileRead,
+    /// `write` to a file.
+    FileWrite,
+    /// `fsync` and `fdatasync`.
+    Sync,
+    /// `rename`.
+    Rename,
+    /// `flock`.
+    Lock,
+}
+
+/// What happens to a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// It fails with this error.
+    Fail(i32),
+    /// It transfers one byte at the most.
+    Short,
+    /// It begins [`DELAY_MS`] later.
+    Delay,
+}
+
+const CALLS: [(&str, Call); 12] = [
+    ("accept", Call::Accept),
+    ("connect", Call::Connect),
+    ("socket", Call::Socket),
+    ("wait", Call::Wait),
+    ("recv", Call::Receive),
+    ("send", Call::Send),
+    ("open", Call::Open),
+    ("file-read", Call::FileRead),
+    ("file-write", Call::FileWrite),
+    ("sync", Call::Sync),
+    ("rename", Call::Rename),
+    ("lock", Call::Lock),
+];
+
+const ERRORS: [(&str, i32); 14] = [
+    ("EADDRNOTAVAIL", libc::EADDRNOTAVAIL),
+    ("ECONNABORTED", libc::ECONNABORTED),
+    ("ECONNRESET", libc::ECONNRESET),
+    ("EHOSTUNREACH", libc::EHOSTUNREACH),
+    ("EINTR", libc::EINTR),
+    ("EIO", libc::EIO),
+    ("EMFILE", libc::EMFILE),
+    ("ENETUNREACH", libc::ENETUNREACH),
+    ("ENFILE", libc::ENFILE),
+    ("ENOBUFS", libc::ENOBUFS),
+    ("ENOLCK", libc::ENOLCK),
+    ("ENOMEM", libc::ENOMEM),
+    ("ENOSPC", libc::ENOSPC),
+    ("ETIMEDOUT", libc::ETIMEDOUT),
+];
+
+/// The effect of the first rule for a call that applies, with `draw` from 0 to 99 for chance. Lines that are no rule are
+/// ignored.
+pub fn effect(rules: &str, call: Call, draw: u32) -> Option<Effect> {
+    let words = rules.lines().map(str::split_ascii_whitespace);
+    let applies = |mut words: std::str::SplitAsciiWhitespace<'_>| {
+        let named = lookup(&CALLS, words.next()?)?;
+        let effect = parse_effect(words.next()?)?;
+        let percent = words.next().map_or(Some(ALWAYS), |percent| percent.parse().ok())?;
+        (named == call && draw < percent).then_some(effect)
+    };
+    words.filter_map(applies).next()
+}
+
+/// By how many milliseconds the wall clock is ahead.
+pub fn clock_offset_ms(rules: &str) -> i64 {
+    let offset = |line: &str| {
+        let mut words = line.split_ascii_whitespace();
+        words.next().filter(|word| *word == "clock")?;
+        words.next()?.parse().ok()
+    };
+    rules.lines().filter_map(offset).next().unwrap_or(0)
+}
+
+fn parse_effect(word: &str) -> Option<Effect> {
+    match word {
+        "short" => Some(Effect::Short),
+        "delay" => Some(Effect::Delay),
+        error => lookup(&ERRORS, error).map(Effect::Fail),
+    }
+}
+
+fn lookup<T: Copy>(table: &[(&str, T)], word: &str) -> Option<T> {
+    table.iter().find(|(name, _)| *name == word).map(|(_, value)| *value)
+}
--- a/tests/scenario/clients.rs
+++ b/tests/scenario/clients.rs
@@ -37,6 +37,18 @@
         Clients { front, address, by_name: HashMap::new(), crowd: Vec::new(), requests: 0 }
     }
 
+    /// Which front the clients speak to.
+    pub fn front(&self) -> Front {
+        self.front
+    }
+
+    /// Whether the front says that it is ready.
+    pub fn is_front_ready(&self) -> bool {
+        let mut connection = Connection::open(self.address);
+        connection.write(b"GET /health/ready HTTP/1.1\r\nHost: t\r\n\r\n");
+        connection.read_message().is_ok_and(|response| response.start_line.contains("200"))
+    }
+
     /// Connects a client that reads slowly.
     pub fn connect_slowly(&mut self, name: &str) {
         let client = Client { connection: Connection::open_slow(self.address), sent_head: false };
