Call discovery at once, be ready once the list is confirmed, accept on after errors

Ruled out: a watch that fell silent (the fronts that were not restarted had the change at once). Separately, the first error of accept ended the last look at the queue of the listening socket (Listener::accept_backlog), and every connection behind it was reset. Change: first calls are spread over 0.3 s; core::startup_readiness holds /health/ready at 503 until discovery has confirmed the list, could not be reached, or 5 s are over. The queue is asked until it is empty, past errors.

--- a/crates/core/src/discovery_watch.rs
+++ b/crates/core/src/discovery_watch.rs
@@ -30,6 +30,9 @@
 const _: () = assert!(SILENCE_TIMEOUT + CALL_JITTER + CALL_TIMEOUT <= STALE_AFTER - APPLY_MARGIN);
 /// Pause after a failed call to a new address of discovery, whose updates must take effect sooner.
 const RETRY_AFTER_MOVE: Nanos = 200 * MS;
+/// The first calls of fronts that start together are spread over this time. It is short: a starting front cannot know
+/// how old its list is, and what discovery has counts as known soon.
+pub const FIRST_CALL_SPREAD: Nanos = 300 * MS;
 /// How long after a change of discovery's address [`RETRY_AFTER_MOVE`] applies.
 const MOVE_SPAN: Nanos = 4_000 * MS;
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -84,6 +84,7 @@
 pub mod request_tracker;
 pub mod server_connection;
 pub mod settings_reload;
+pub mod startup_readiness;
 mod state;
 
 pub use interface::*;
--- a/src/control/discovery.rs
+++ b/src/control/discovery.rs
@@ -18,6 +18,7 @@
 use crate::control::endpoint_list::{EndpointListError, EndpointListReader};
 use crate::control::http_client::{call, CallResponse, CallTimeouts, HttpError};
 use crate::control::json_stream::Message;
+use crate::control::readiness::Readiness;
 use crate::exchange::Exchange;
 use crate::telemetry::log::log;
 use crate::upstream::Upstream;
@@ -49,6 +50,7 @@
     /// This front's place, from 0 to 1, in the interval over which the fleet's calls are spread.
     phase: f64,
     reader: EndpointListReader,
+    readiness: Readiness,
     /// The version of the endpoint list in use.
     generation: i64,
     /// The address whose versions [`Discovery::generation`] counts; until the first call none.
@@ -58,8 +60,8 @@
 impl Discovery {
     /// Nothing is followed yet. The first call goes out within `first_call` nanoseconds. `phase`, from 0 to 1, is this
     /// front's place in the interval over which the fleet's calls are spread.
-    pub fn new(first_call: Nanos, phase: f64, reader: EndpointListReader) -> Discovery {
-        Discovery { first_call, phase, reader, generation: 0, list_source: None }
+    pub fn new(first_call: Nanos, phase: f64, reader: EndpointListReader, readiness: Readiness) -> Discovery {
+        Discovery { first_call, phase, reader, readiness, generation: 0, list_source: None }
     }
 
     /// Passes on the last known endpoint list, which may be old.
@@ -85,14 +87,26 @@
     ) {
         let machine = DiscoveryWatch::new(0, self.first_call, self.phase);
         let started = Instant::now();
-        let follower =
-            Follower { discovery: self, address, exchange, machine, started, watch: None, opening: None };
+        let follower = Follower {
+            discovery: self,
+            address,
+            exchange,
+            machine,
+            started,
+            watch: None,
+            opening: None,
+            called_at: started,
+        };
         follower.run().await;
     }
 
     /// Handles one message of the watch on `source`. One that cannot be read is logged and otherwise ignored.
     fn receive(&mut self, message: Message, source: SocketAddr, exchange: &Rc<Exchange<Upstream>>) {
-        let Message::Json(mut json) = message else { return };
+        let Message::Json(mut json) = message else {
+            // Nothing has changed since the version that the watch was opened with.
+            self.readiness.list_confirmed();
+            return;
+        };
         let value = simd_json::to_owned_value(&mut json).map_err(DiscoveryError::Syntax);
         let update = value.and_then(|value| Ok(self.reader.read(&value, exchange.transport())?));
         match update {
@@ -100,6 +114,7 @@
                 self.generation = update.generation;
                 self.list_source = Some(source);
                 exchange.update_endpoints(update.scope, update.nodes);
+                self.readiness.list_confirmed();
             }
             Err(error) => log!("discovery: message rejected: {error}"),
         }
@@ -137,6 +152,8 @@
     started: Instant,
     watch: Option<OpenWatch>,
     opening: Option<OpeningWatch>,
+    /// When the latest call was made.
+    called_at: Instant,
 }
 
 impl Follower {
@@ -144,6 +161,7 @@
         loop {
             // Without discovery there is only the last known list, until a configuration names an address.
             let Some(address) = *self.address.borrow() else {
+                self.discovery.readiness.list_confirmed();
                 if self.address.changed().await.is_err() {
                     return;
                 }
@@ -189,10 +207,12 @@
                 match ended {
                     Ok(watch) => {
                         *opened = Some(watch);
+                        self.discovery.readiness.watch_opened();
                         WatchEvent::Opened
                     }
                     Err(error) => {
                         log!("discovery: {error}");
+                        self.discovery.readiness.call_failed(self.called_at.elapsed());
                         WatchEvent::Failed
                     }
                 }
@@ -223,6 +243,7 @@
         let list_source = *self.discovery.list_source.get_or_insert(address);
         // Another instance of discovery may count versions differently: from 0 on it sends everything.
         let generation = if list_source == address { self.discovery.generation } else { 0 };
+        self.called_at = Instant::now();
         self.opening = Some(Box::pin(open_watch(address, generation)));
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -9,3 +9,4 @@
 pub mod maintenance;
 pub mod maintenance_call;
 pub mod maintenance_file;
+pub mod readiness;
--- /dev/null
+++ b/src/control/readiness.rs
@@ -0,0 +1,55 @@
+//! Whether this front is ready for clients, shared between discovery and the health check.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tulipbridge_core::startup_readiness::StartupReadiness;
+use tulipbridge_core::Nanos;
+
+/// A handle to the readiness of this front; see [`StartupReadiness`].
+#[derive(Clone, Debug)]
+pub struct Readiness {
+    started: Instant,
+    state: Rc<Cell<StartupReadiness>>,
+}
+
+impl Default for Readiness {
+    /// A front that starts now.
+    fn default() -> Readiness {
+        Readiness { started: Instant::now(), state: Rc::new(Cell::new(StartupReadiness::new(0))) }
+    }
+}
+
+impl Readiness {
+    /// A watch on discovery has opened.
+    pub fn watch_opened(&self) {
+        let now = self.now();
+        self.update(|state| state.watch_opened(now));
+    }
+
+    /// Discovery has confirmed or replaced the endpoint list.
+    pub fn list_confirmed(&self) {
+        self.update(StartupReadiness::list_confirmed);
+    }
+
+    /// A call to discovery has failed after a time.
+    pub fn call_failed(&self, took: Duration) {
+        self.update(|state| state.call_failed(took.as_nanos() as Nanos));
+    }
+
+    /// Whether the front is ready now.
+    pub fn is_ready(&self) -> bool {
+        self.state.get().is_ready(self.now())
+    }
+
+    fn now(&self) -> Nanos {
+        self.started.elapsed().as_nanos() as Nanos
+    }
+
+    fn update(&self, change: impl FnOnce(&mut StartupReadiness)) {
+        let mut state = self.state.get();
+        change(&mut state);
+        self.state.set(state);
+    }
+}
--- a/src/front/assembly.rs
+++ b/src/front/assembly.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::watch;
 use tokio::task::spawn_local;
+use tulipbridge_core::discovery_watch::FIRST_CALL_SPREAD;
 use tulipbridge_core::{Nanos, Settings};
 
 use crate::body_budget::BodyBudget;
@@ -16,6 +17,7 @@
 use crate::control::discovery::Discovery;
 use crate::control::endpoint_list::EndpointListReader;
 use crate::control::maintenance::Maintenance;
+use crate::control::readiness::Readiness;
 use crate::exchange::Exchange;
 use crate::front::error::FrontError;
 use crate::frontend::listener::ListenerState;
@@ -47,6 +49,8 @@
     pub listener_state: ListenerState,
     /// The front's peers, where it has any.
     pub peers: Option<Rc<Peers>>,
+    /// Whether the front is ready for clients.
+    pub readiness: Readiness,
     /// The most connections with clients.
     pub max_clients: usize,
 }
@@ -67,7 +71,8 @@
     let peers = join_peers(config, &exchange, &metrics)?;
     let state_folder = std::env::var_os("TMPDIR").map(PathBuf::from);
     let maintenance = Maintenance::new(state_folder, &config.name, Rc::clone(&exchange));
-    start_discovery(config, discovery_address, &exchange, &maintenance)?;
+    let readiness = Readiness::default();
+    start_discovery(config, discovery_address, &exchange, &maintenance, readiness.clone())?;
     spawn_local(Rc::clone(&maintenance).follow());
     spawn_local(sweep(Rc::clone(&exchange)));
     let parts = FrontParts {
@@ -79,6 +84,7 @@
             ..ListenerState::default()
         },
         peers,
+        readiness,
         max_clients: limits.clients,
     };
     if let Some(address) = config.console {
@@ -121,22 +127,22 @@
     address: watch::Receiver<Option<SocketAddr>>,
     exchange: &Rc<Exchange<Upstream>>,
     maintenance: &Rc<Maintenance>,
+    readiness: Readiness,
 ) -> Result<(), FrontError> {
     let reader = EndpointListReader { zones: config.zones.clone(), maintenance: Rc::clone(maintenance) };
     let phase = fastrand::Rng::with_seed(config.seed).f64();
-    let mut discovery = Discovery::new(max_first_call_delay(&config.settings), phase, reader);
+    let mut discovery = Discovery::new(max_first_call_delay(&config.settings), phase, reader, readiness);
     discovery.restore(&config.known_endpoints, exchange).map_err(FrontError::KnownEndpoints)?;
     spawn_local(discovery.follow(address, Rc::clone(exchange)));
     Ok(())
 }
 
 /// How long a starting front may wait before it calls discovery. Where lists are pushed, a front is expected to know
-/// from the first moment what discovery has. Where lists are polled, it is expected to know a list only after a poll
-/// interval without a call; the scheduler requests its first list within half of that, at a time that differs from
-/// front to front.
+/// from the first moment what discovery has. Where lists are polled, all fronts of a fleet share one discovery, and
+/// those that start together call one after another; but the list that a front starts with may be old.
 fn max_first_call_delay(settings: &Settings) -> Nanos {
     if settings.polls_discovery {
-        settings.poll_interval / 2
+        FIRST_CALL_SPREAD.min(settings.poll_interval / 2)
     } else {
         0
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -46,7 +46,7 @@
         peers: parts.peers.clone(),
     };
     spawn_local(reload.follow(hangup, Config::reread_from_env));
-    let handler = PlatformFront::new(Rc::clone(&parts.exchange), tables);
+    let handler = PlatformFront::new(Rc::clone(&parts.exchange), tables, parts.readiness);
     Listener::new(handler, parts.max_clients, parts.listener_state).serve(listener, shutdown).await;
     if let Some(peers) = &parts.peers {
         peers.shut_down();
--- a/src/frontend/listener.rs
+++ b/src/frontend/listener.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
+use std::io::{self, ErrorKind};
 use std::os::fd::AsRawFd;
 use std::pin::pin;
 use std::rc::Rc;
@@ -11,8 +12,10 @@
 
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
+use nix::errno::Errno;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout, Instant};
 use tulipbridge_core::client_connection::Phase;
 use tulipbridge_core::connection_limiter::{Accept, ConnectionLimiter};
@@ -34,6 +37,9 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(5);
 /// How long the accept loop waits after an error of `accept`.
 const ACCEPT_ERROR_DELAY: Duration = Duration::from_millis(10);
+/// How many errors of `accept` the end of the listening socket waits out: with the pause after those of resources, no
+/// more than a tenth of the time that a shutdown has.
+const MAX_BACKLOG_ERRORS: usize = 64;
 /// The shortest time between two log lines about the connection limit.
 const FULL_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Size of the buffer that data of closing connections is discarded into.
@@ -135,7 +141,7 @@
                 ShutdownStep::Wait(_) | ShutdownStep::Exit => return,
             };
         }
-        self.accept_backlog(listener);
+        self.accept_backlog(listener).await;
         self.shutting_down.send_replace(true);
         self.wait_for_pending_work(&mut shutdown).await;
     }
@@ -172,24 +178,42 @@
 
     /// Accepts every connection in the kernel's queue and closes the listening socket. The kernel is queried directly
     /// until the queue is empty: the runtime learns of a connection later, and one left in the queue would be reset.
-    fn accept_backlog(self: &Rc<Self>, listener: TcpListener) {
+    /// An error of `accept` concerns one connection, or a resource that another one is about to free.
+    async fn accept_backlog(self: &Rc<Self>, listener: TcpListener) {
         let Ok(listener) = listener.into_std() else { return };
-        while let Ok((stream, _)) = listener.accept() {
-            let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-            if let Ok(stream) = stream {
-                self.spawn_connection(stream);
+        let mut errors_left = MAX_BACKLOG_ERRORS;
+        while errors_left > 0 {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                    if let Ok(stream) = stream {
+                        self.spawn_connection(stream);
+                    }
+                }
+                Err(why) if why.kind() == ErrorKind::WouldBlock => return,
+                Err(why) => {
+                    errors_left -= 1;
+                    if is_out_of_resources(&why) {
+                        sleep(ACCEPT_RETRY_DELAY).await;
+                    }
+                }
             }
         }
+        log!("cannot accept: the socket closes with connections in its queue");
     }
 
     async fn accept_one(self: &Rc<Self>, listener: &TcpListener) {
         self.ensure_capacity().await;
         match listener.accept().await {
             Ok((stream, _)) => self.spawn_connection(stream),
-            // Out of file descriptors, or the client left the queue. Waiting lets other connections close.
+            // Waiting lets other connections close. Any other error is over with this call.
             Err(why) => {
                 log!("cannot accept: {why}");
-                sleep(ACCEPT_ERROR_DELAY).await;
+                if is_out_of_resources(&why) {
+                    sleep(ACCEPT_ERROR_DELAY).await;
+                } else {
+                    yield_now().await;
+                }
             }
         }
     }
@@ -295,6 +319,12 @@
     }
 }
 
+/// Whether `accept` failed for want of descriptors or memory, which other connections hold.
+fn is_out_of_resources(error: &io::Error) -> bool {
+    let code = error.raw_os_error().map(Errno::from_raw);
+    matches!(code, Some(Errno::EMFILE | Errno::ENFILE | Errno::ENOBUFS | Errno::ENOMEM))
+}
+
 fn duration(time: Nanos) -> Duration {
     Duration::from_nanos(time.max(0) as u64)
 }
--- a/src/frontend/platform/mod.rs
+++ b/src/frontend/platform/mod.rs
@@ -20,6 +20,7 @@
 use super::listener::{Handler, ReceivedRequest};
 use super::replies::{health_check, plain, rejected, Reply};
 use crate::body_budget::BodyReservation;
+use crate::control::readiness::Readiness;
 use crate::exchange::{Exchange, FinalResponse};
 use crate::upstream::{Accepts, Answer, Payload, Upstream};
 
@@ -38,6 +39,7 @@
 pub struct PlatformFront {
     exchange: Rc<Exchange<Upstream>>,
     tables: Rc<RefCell<RequestTables>>,
+    readiness: Readiness,
     /// Transaction ids of the requests that are being answered.
     open_transactions: RefCell<HashSet<u64>>,
 }
@@ -52,7 +54,9 @@
     }
 
     async fn answer(&self, request: ReceivedRequest, shutting_down: bool) -> Reply {
-        if let Some(reply) = health_check(request.method(), request.uri().path(), shutting_down) {
+        if let Some(reply) =
+            health_check(request.method(), request.uri().path(), &self.readiness, shutting_down)
+        {
             return reply;
         }
         let class = single_value(request.headers(), CLASS).map(str::to_owned);
@@ -63,9 +67,14 @@
 }
 
 impl PlatformFront {
-    /// A front on an exchange; `tables` has the names that requests may use, and may be reloaded.
-    pub fn new(exchange: Rc<Exchange<Upstream>>, tables: Rc<RefCell<RequestTables>>) -> PlatformFront {
-        PlatformFront { exchange, tables, open_transactions: RefCell::default() }
+    /// A front on an exchange; `tables` has the names that requests may use, and may be reloaded. `readiness` is what the
+    /// health check tells.
+    pub fn new(
+        exchange: Rc<Exchange<Upstream>>,
+        tables: Rc<RefCell<RequestTables>>,
+        readiness: Readiness,
+    ) -> PlatformFront {
+        PlatformFront { exchange, tables, readiness, open_transactions: RefCell::default() }
     }
 
     /// Counts a response in the metrics of its class, where the class is known.
--- a/src/frontend/replies.rs
+++ b/src/frontend/replies.rs
@@ -9,6 +9,8 @@
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::{Method, Response, StatusCode};
 
+use crate::control::readiness::Readiness;
+
 /// `Retry-After` of a rejection by the listener itself.
 const REJECTION_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -22,12 +24,21 @@
     reply
 }
 
-/// The response to a health check; `None` for any other request. A front that shuts down is alive but not ready.
-pub(crate) fn health_check(method: &Method, path: &str, shutting_down: bool) -> Option<Reply> {
+/// The response to a health check; `None` for any other request. A front that starts or shuts down is alive but not
+/// ready.
+pub(crate) fn health_check(
+    method: &Method,
+    path: &str,
+    readiness: &Readiness,
+    shutting_down: bool,
+) -> Option<Reply> {
     match (method, path) {
         (&Method::GET, "/health/ready") if shutting_down => {
             Some(plain(StatusCode::SERVICE_UNAVAILABLE, "leaving"))
         }
+        (&Method::GET, "/health/ready") if !readiness.is_ready() => {
+            Some(plain(StatusCode::SERVICE_UNAVAILABLE, "starting"))
+        }
         (&Method::GET, "/health/ready" | "/health/live") => Some(plain(StatusCode::OK, "ok")),
         _ => None,
     }
--- a/src/object/front.rs
+++ b/src/object/front.rs
@@ -14,6 +14,7 @@
 use super::node_request::NodeRequest;
 use super::replies::{copy_header, empty, VERSION_ID};
 use super::request::{ObjectRequest, Operation};
+use crate::control::readiness::Readiness;
 use crate::exchange::Exchange;
 use crate::frontend::listener::{Handler, ReceivedRequest};
 use crate::frontend::replies::{health_check, Reply};
@@ -23,24 +24,27 @@
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-amz-request-id");
 
 /// The handler for the object API.
-pub struct ObjectFront(Rc<FrontState>);
+pub struct ObjectFront {
+    state: Rc<FrontState>,
+    readiness: Readiness,
+}
 
 impl Handler for ObjectFront {
     fn begin_shutdown(&self, within: Duration) {
-        self.0.exchange.begin_shutdown(within);
+        self.state.exchange.begin_shutdown(within);
     }
 
     fn longest_deadline(&self) -> Duration {
-        self.0.exchange.longest_deadline()
+        self.state.exchange.longest_deadline()
     }
 
     async fn answer(&self, request: ReceivedRequest, shutting_down: bool) -> Reply {
         let (method, path) = (request.method().clone(), request.uri().path().to_owned());
-        if let Some(reply) = health_check(&method, &path, shutting_down) {
+        if let Some(reply) = health_check(&method, &path, &self.readiness, shutting_down) {
             return reply;
         }
         let request_id = format!("{:016x}", fastrand::u64(..));
-        let mut reply = match self.0.serve(request).await {
+        let mut reply = match self.state.serve(request).await {
             Ok(reply) => reply,
             Err(error) => error.into_reply(&path, &request_id, method == Method::HEAD),
         };
@@ -52,11 +56,11 @@
 }
 
 impl ObjectFront {
-    /// A front on an exchange.
-    pub fn new(exchange: Rc<Exchange<Upstream>>, config: Config) -> ObjectFront {
+    /// A front on an exchange. `readiness` is what the health check tells.
+    pub fn new(exchange: Rc<Exchange<Upstream>>, config: Config, readiness: Readiness) -> ObjectFront {
         let settings = &config.base.settings;
         let deadlines = settings.classes.iter().map(|class| Duration::from_nanos(class.deadline as u64));
-        ObjectFront(Rc::new(FrontState {
+        let state = Rc::new(FrontState {
             exchange,
             shards: config.base.shards,
             deadlines: deadlines.collect(),
@@ -64,7 +68,8 @@
             max_units: settings.max_units.max(1.0),
             buckets: config.buckets,
             pending_completions: RefCell::default(),
-        }))
+        });
+        ObjectFront { state, readiness }
     }
 }
 
--- a/src/object/mod.rs
+++ b/src/object/mod.rs
@@ -76,7 +76,7 @@
     let listener = listen(config.base.listen).await?;
     let parts = assemble(&config.base, discovery_address)?;
     peers.borrow_mut().clone_from(&parts.peers);
-    let front = ObjectFront::new(parts.exchange, config);
+    let front = ObjectFront::new(parts.exchange, config, parts.readiness);
     Listener::new(front, parts.max_clients, parts.listener_state).serve(listener, shutdown).await;
     if let Some(peers) = &parts.peers {
         peers.shut_down();
