Add three tests that fail: short reads and writes, and a wall clock that is wrong

Cause: measured from outside; reproduced here by the fault shim. Measured: with one byte in every other call a request has no answer; with a clock that is an hour ahead a server that starts gets more than 20 requests in its first second; with one an hour behind it stays cold past its warm-up.

--- a/tests/system_faults.rs
+++ b/tests/system_faults.rs
@@ -38,4 +38,45 @@
         close c5
         close c6
         wait front";
+
+    requests_are_answered_although_reads_and_writes_are_short: Platform, 2, "
+        faults recv short 50; send short 50
+        expect d
+        send c1 GET /api
+        expect s0
+        send s0 200 | one
+        expect c1
+        send c1 PUT /api X-Lane:form-submit | *3000
+        expect s0
+        send s0 200 | two
+        expect c1
+        send c2 GET /api
+        expect s0
+        send s0 200 | *3000
+        expect c2
+        send console GET /status
+        send d Terminating 0
+        await app_cluster_unhealthy 1
+        send c1 GET /api shard:1
+        expect s1
+        send s1 200 | three
+        expect c1";
+
+    server_that_starts_is_started_slowly_although_the_wall_clock_is_ahead: Platform, 2, "
+        faults clock 3600000
+        expect d
+        send d started 0 0
+        send d Terminating 1
+        await app_cluster_unhealthy 1
+        load s0 1000 at-most 20 GET /api";
+
+    server_is_warm_in_time_although_the_wall_clock_is_behind: Platform, 2, "
+        settings \"Cold\": 17000000000 => \"Cold\": 600000000
+        faults clock -3600000
+        expect d
+        send d started 0 60000
+        send d Terminating 1
+        await app_cluster_unhealthy 1
+        wait 700
+        load s0 1000 at-least 50 GET /api";
 }
