Take no conclusion from a short transfer, and no start of a server from a wrong clock

Cause: the runtime's sockets take a short read or write for an empty or full buffer and wait for an event that does not come (TcpStream::poll_read and poll_write, in framed_socket, upstream::connection, http_client and console). The front's clock reads Unix time once, and Scheduler::update_node compares startedAtMs of a server with it, so that a wrong wall clock gives a starting server no slow start, or one for as long as the clock is behind. Change: src/socket_io.rs transfers by try_io with the call itself, repeats what was interrupted, and holds the looks at what waits, which stood three times. core::server_start_times takes a listed start only where it is plausible: not in the future, and not before the last confirmed list less its greatest delay; a Date of discovery's answer corrects a first list.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -83,6 +83,7 @@
 mod policy;
 pub mod request_tracker;
 pub mod server_connection;
+pub mod server_start_times;
 pub mod settings_reload;
 pub mod startup_readiness;
 mod state;
--- a/src/control/console.rs
+++ b/src/control/console.rs
@@ -34,6 +34,7 @@
 use crate::control::maintenance::Maintenance;
 use crate::control::maintenance_call::{decode_id, MaintenanceAction, MaintenanceCall};
 use crate::exchange::Exchange;
+use crate::socket_io::Socket;
 use crate::telemetry::log::log;
 use crate::telemetry::metrics::{GaugeReadings, Metrics};
 use crate::upstream::Upstream;
@@ -131,8 +132,9 @@
                 let console = Rc::clone(&console);
                 async move { Ok::<_, Infallible>(console.answer(request).await) }
             });
-            let connection =
-                http1::Builder::new().keep_alive(false).serve_connection(TokioIo::new(stream), service);
+            let connection = http1::Builder::new()
+                .keep_alive(false)
+                .serve_connection(TokioIo::new(Socket(stream)), service);
             tokio::select! {
                 _ = timeout(CALL_TIMEOUT, connection) => {}
                 () = close.notified() => {}
--- a/src/control/discovery.rs
+++ b/src/control/discovery.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, UNIX_EPOCH};
 
 use hyper::{Method, StatusCode};
 use simd_json::OwnedValue as Value;
@@ -73,7 +73,7 @@
         known: &Value,
         exchange: &Rc<Exchange<Upstream>>,
     ) -> Result<(), EndpointListError> {
-        let update = self.reader.read(known, exchange.transport())?;
+        let update = self.reader.read(known, exchange.transport(), exchange.now())?;
         self.generation = update.generation;
         exchange.update_endpoints(UpdateScope::Restored, update.nodes);
         Ok(())
@@ -100,17 +100,28 @@
         follower.run().await;
     }
 
+    /// Compares the clock of discovery, where a response tells it, with that of this front.
+    fn record_time_of_discovery(&self, response: &CallResponse, now: Nanos) {
+        let told = response.date.and_then(|date| date.duration_since(UNIX_EPOCH).ok());
+        if let Some(told) = told {
+            self.reader.start_times.borrow_mut().discovery_time(now, told.as_nanos() as Nanos);
+        }
+    }
+
     /// Handles one message of the watch on `source`. One that cannot be read is logged and otherwise ignored.
     fn receive(&mut self, message: Message, source: SocketAddr, exchange: &Rc<Exchange<Upstream>>) {
+        let now = exchange.now();
         let Message::Json(mut json) = message else {
             // Nothing has changed since the version that the watch was opened with.
+            self.reader.start_times.borrow_mut().confirmed(now);
             self.readiness.list_confirmed();
             return;
         };
         let value = simd_json::to_owned_value(&mut json).map_err(DiscoveryError::Syntax);
-        let update = value.and_then(|value| Ok(self.reader.read(&value, exchange.transport())?));
+        let update = value.and_then(|value| Ok(self.reader.read(&value, exchange.transport(), now)?));
         match update {
             Ok(update) => {
+                self.reader.start_times.borrow_mut().confirmed(now);
                 self.generation = update.generation;
                 self.list_source = Some(source);
                 exchange.update_endpoints(update.scope, update.nodes);
@@ -206,6 +217,7 @@
                 self.opening = None;
                 match ended {
                     Ok(watch) => {
+                        self.discovery.record_time_of_discovery(&watch.response, self.exchange.now());
                         *opened = Some(watch);
                         self.discovery.readiness.watch_opened();
                         WatchEvent::Opened
--- a/src/control/endpoint_list.rs
+++ b/src/control/endpoint_list.rs
@@ -1,10 +1,12 @@
 //! Reads endpoint lists: the messages of discovery, and the last known list in a front's configuration.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use simd_json::prelude::*;
 use simd_json::OwnedValue as Value;
-use tulipbridge_core::{CellId, Listed, NodeInfo, UpdateScope};
+use tulipbridge_core::server_start_times::ServerStartTimes;
+use tulipbridge_core::{CellId, Listed, Nanos, NodeInfo, UpdateScope};
 
 use crate::config::json::{array, boolean, integer, parse_address, string, JsonError};
 use crate::control::maintenance::Maintenance;
@@ -45,28 +47,42 @@
     pub zones: Vec<String>,
     /// The chunk servers in maintenance, which the scheduler sees as draining.
     pub maintenance: Rc<Maintenance>,
+    /// When the servers started.
+    pub start_times: RefCell<ServerStartTimes<String>>,
 }
 
 impl EndpointListReader {
-    /// Reads an update. Chunk servers that are new get their number from `upstream`.
+    /// Reads an update that arrived at `now`. Chunk servers that are new get their number from `upstream`.
     ///
     /// # Errors
     /// The first value that is missing or invalid.
-    pub fn read(&self, value: &Value, upstream: &Upstream) -> Result<EndpointUpdate, EndpointListError> {
+    pub fn read(
+        &self,
+        value: &Value,
+        upstream: &Upstream,
+        now: Nanos,
+    ) -> Result<EndpointUpdate, EndpointListError> {
         let generation = integer(value.get("generation"), "generation")?;
         let scope = if boolean(value, "reset")? { UpdateScope::Replace } else { UpdateScope::Update };
         let entries = array(value, "instances")?.iter();
         let endpoints: Vec<NamedEndpoint> =
-            entries.map(|entry| self.read_endpoint(entry, upstream)).collect::<Result<_, _>>()?;
+            entries.map(|entry| self.read_endpoint(entry, upstream, now)).collect::<Result<_, _>>()?;
         if scope == UpdateScope::Replace {
-            self.maintenance.replaced(&endpoints.iter().map(|endpoint| endpoint.name.clone()).collect());
+            let names = endpoints.iter().map(|endpoint| endpoint.name.clone()).collect();
+            self.start_times.borrow_mut().list_replaced(&names);
+            self.maintenance.replaced(&names);
         }
         let listed = |endpoint: NamedEndpoint| self.maintenance.listed(&endpoint.name, endpoint.info);
         let nodes = endpoints.into_iter().map(listed).collect();
         Ok(EndpointUpdate { generation, scope, nodes })
     }
 
-    fn read_endpoint(&self, entry: &Value, upstream: &Upstream) -> Result<NamedEndpoint, EndpointListError> {
+    fn read_endpoint(
+        &self,
+        entry: &Value,
+        upstream: &Upstream,
+        now: Nanos,
+    ) -> Result<NamedEndpoint, EndpointListError> {
         let name = string(entry.get("instanceId"), "instanceId")?;
         let address = parse_address("hostPort", string(entry.get("hostPort"), "hostPort")?)?;
         let zone = self.zone_index(entry.get("zone").and_then(Value::as_str));
@@ -79,7 +95,8 @@
         let cell = integer(entry.get("cell"), "cell")?;
         let cell = CellId::try_from(cell).map_err(|_| EndpointListError::CellOutOfRange)?;
         let started_at_ms = entry.get("startedAtMs").and_then(Value::as_i64).unwrap_or(0);
-        let started_at = started_at_ms.saturating_mul(NANOS_PER_MILLISECOND);
+        let listed_start = started_at_ms.saturating_mul(NANOS_PER_MILLISECOND);
+        let started_at = self.start_times.borrow_mut().listed(&name.to_owned(), now, listed_start);
         let node = upstream.locate(name, address, cell);
         let info = NodeInfo { node, zone, cell, listed, started_at };
         Ok(NamedEndpoint { name: name.to_owned(), info })
--- a/src/control/http_client.rs
+++ b/src/control/http_client.rs
@@ -2,13 +2,13 @@
 //! own. Responses may be read whole or as a stream of JSON messages.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{handshake, SendRequest};
-use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::header::{CONTENT_TYPE, DATE, HOST};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use crate::control::json_stream::{Message, MessageReader};
+use crate::socket_io::Socket;
 
 /// The longest message of a stream, and the longest whole body, in bytes.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
@@ -65,6 +66,8 @@
 pub struct CallResponse {
     /// The status of the response.
     pub status: StatusCode,
+    /// The time at which the response was made, where it tells that.
+    pub date: Option<SystemTime>,
     body: Incoming,
     messages: MessageReader,
     _task: ConnectionTask,
@@ -98,8 +101,10 @@
     let request = request.body(Full::new(Bytes::from(body))).map_err(HttpError::InvalidRequest)?;
     let response = timeout(timeouts.response, connection.sender.send_request(request)).await;
     let response = response.map_err(|_| HttpError::ResponseTimeout)??;
+    let date = response.headers().get(DATE).and_then(|date| date.to_str().ok());
     Ok(CallResponse {
         status: response.status(),
+        date: date.and_then(|date| httpdate::parse_http_date(date).ok()),
         body: response.into_body(),
         messages: MessageReader::default(),
         _task: connection.task,
@@ -116,7 +121,7 @@
     async fn open(address: SocketAddr, within: Duration) -> Result<Connection, HttpError> {
         let connected = timeout(within, TcpStream::connect(address)).await;
         let stream = connected.map_err(|_| HttpError::ConnectTimeout)?.map_err(HttpError::Connect)?;
-        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+        let (sender, connection) = handshake(TokioIo::new(Socket(stream))).await?;
         let task = tokio::task::spawn_local(async move {
             // Its error is also returned to the sender of the request and the reader of the body.
             let _ = connection.await;
--- a/src/front/assembly.rs
+++ b/src/front/assembly.rs
@@ -1,5 +1,6 @@
 //! Assembles the parts behind a front and starts their background tasks.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -129,7 +130,11 @@
     maintenance: &Rc<Maintenance>,
     readiness: Readiness,
 ) -> Result<(), FrontError> {
-    let reader = EndpointListReader { zones: config.zones.clone(), maintenance: Rc::clone(maintenance) };
+    let reader = EndpointListReader {
+        zones: config.zones.clone(),
+        maintenance: Rc::clone(maintenance),
+        start_times: RefCell::default(),
+    };
     let phase = fastrand::Rng::with_seed(config.seed).f64();
     let mut discovery = Discovery::new(max_first_call_delay(&config.settings), phase, reader, readiness);
     discovery.restore(&config.known_endpoints, exchange).map_err(FrontError::KnownEndpoints)?;
--- a/src/frontend/client_state.rs
+++ b/src/frontend/client_state.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use nix::sys::socket::{recv, MsgFlags};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tulipbridge_core::client_connection::{ClientConnection, ClientEvent, Phase};
 use tulipbridge_core::Nanos;
 
+use crate::socket_io::has_unread_data;
+
 /// State of one client connection: its state machine, framing errors and notifications.
 pub struct ClientState {
     connection: Cell<ClientConnection>,
@@ -126,8 +127,7 @@
 
     /// Whether unread bytes wait on the socket, or response bytes are not with the kernel yet.
     fn has_buffered_bytes(&self) -> bool {
-        let peek = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
-        self.response_unflushed.get() || recv(self.socket, &mut [0], peek).is_ok_and(|count| count > 0)
+        self.response_unflushed.get() || has_unread_data(self.socket)
     }
 
     fn now(&self) -> Nanos {
--- a/src/frontend/framed_socket.rs
+++ b/src/frontend/framed_socket.rs
@@ -15,6 +15,7 @@
 
 use super::client_state::ClientState;
 use super::framing::{body_framing, BodyFraming};
+use crate::socket_io;
 
 /// The most bytes of a request head; a longer one is answered 431.
 pub const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -76,7 +77,7 @@
     fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let mut bytes = [0; READ_BUFFER_BYTES];
         let mut buf = ReadBuf::new(&mut bytes);
-        ready!(Pin::new(&mut *self.read.borrow_mut()).poll_read(cx, &mut buf))?;
+        ready!(socket_io::poll_read((*self.read.borrow()).as_ref(), cx, &mut buf))?;
         self.buffer.extend_from_slice(buf.filled());
         Poll::Ready(Ok(buf.filled().len()))
     }
@@ -229,7 +230,7 @@
 
 impl AsyncWrite for FramedSocket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let count = ready!(Pin::new(&mut self.write).poll_write(cx, buf))?;
+        let count = ready!(socket_io::poll_write(self.write.as_ref(), cx, buf))?;
         self.response_started |= matches!(self.state, ReadState::Complete) && count > 0;
         Poll::Ready(Ok(count))
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 mod limits;
 pub mod object;
 pub mod runtime;
+pub mod socket_io;
 pub mod telemetry;
 pub mod upstream;
 
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -14,8 +14,6 @@
 use hyper::header::{HeaderName, HeaderValue, HOST};
 use hyper::Request;
 use hyper_util::rt::TokioIo;
-use nix::errno::Errno;
-use nix::sys::socket::{recv, MsgFlags};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -27,6 +25,7 @@
 use super::response::read_response;
 use super::wire_state::WireState;
 use crate::exchange::{AttemptReport, Withdrawal};
+use crate::socket_io;
 
 /// Size of hyper's read buffer; a response head that is longer is an error.
 const MAX_BUFFER_BYTES: usize = 32 * 1024;
@@ -81,8 +80,7 @@
     /// Whether the connection is open and no bytes wait on its socket: unsolicited bytes would be mistaken for the next
     /// response.
     pub fn is_quiet(&self) -> bool {
-        let peek = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
-        self.is_open() && recv(self.socket, &mut [0], peek) == Err(Errno::EAGAIN)
+        self.is_open() && socket_io::is_quiet(self.socket)
     }
 
     /// Sends a request and reads its response.
@@ -158,12 +156,12 @@
 
 impl AsyncRead for ObservedStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
         let filled_before = buf.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let result = socket_io::poll_read(&self.stream, cx, buf);
         if buf.filled().len() > filled_before {
             self.wire.bytes_received();
         }
@@ -172,15 +170,11 @@
 }
 
 impl AsyncWrite for ObservedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<std::io::Result<usize>> {
         if !self.wire.may_write(self.stream.as_raw_fd()) {
             return Poll::Ready(Err(std::io::ErrorKind::ConnectionReset.into()));
         }
-        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        let result = socket_io::poll_write(&self.stream, cx, buf);
         if let Poll::Ready(Ok(count)) = result {
             self.wire.bytes_written(&buf[..count]);
         }
--- a/src/upstream/wire_state.rs
+++ b/src/upstream/wire_state.rs
@@ -6,13 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use nix::sys::socket::{recv, MsgFlags};
 use tokio::sync::Notify;
 use tokio::task::yield_now;
 use tokio::time::sleep;
 use tulipbridge_core::server_connection::{ConnectionEvent, Execution, ServerConnection};
 
 use crate::exchange::Withdrawal;
+use crate::socket_io::has_unread_bytes;
 use crate::telemetry::metrics::ClassMetrics;
 
 /// The longest time from the first byte of a response to its last. A server has a response complete before it sends
@@ -109,7 +109,7 @@
     /// where the server has closed the connection, nothing of the request need be risked on it.
     pub(super) fn may_write(&self, socket: i32) -> bool {
         let mut connection = self.connection.get();
-        let unread_bytes = recv(socket, &mut [0], MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT).is_ok();
+        let unread_bytes = has_unread_bytes(socket);
         let withdrawal = self.withdrawal.borrow();
         let withdrawn = withdrawal.as_ref().is_some_and(|withdrawal| withdrawal.outcome().is_some());
         let may_write = connection.may_write(unread_bytes, withdrawn);
--- a/tests/system_faults.rs
+++ b/tests/system_faults.rs
@@ -65,6 +65,7 @@
     server_that_starts_is_started_slowly_although_the_wall_clock_is_ahead: Platform, 2, "
         faults clock 3600000
         expect d
+        send d Ready 0
         send d started 0 0
         send d Terminating 1
         await app_cluster_unhealthy 1
