Add three tests that fail: maintenance with a full folder, an unreadable file, a held lock

Cause: Maintenance::write logs and goes on; MaintenanceFile::read makes an error into no file, so that the next change writes a set without what another version holds; MaintenanceFile::lock waits on the front's only thread.

--- a/crates/fault-shim/src/calls.rs
+++ b/crates/fault-shim/src/calls.rs
@@ -1,5 +1,6 @@
 //! The functions of the C library that are replaced.
 
+use std::ffi::CStr;
 use std::time::Duration;
 
 use libc::{c_char, c_int, c_long, c_uint, c_void, iovec, mode_t, size_t, sockaddr, socklen_t, ssize_t};
@@ -23,8 +24,12 @@
 }
 
 fn judge(call: Call) -> Verdict {
+    judge_with_path(call, "")
+}
+
+fn judge_with_path(call: Call, path: &str) -> Verdict {
     let Some(rules) = Rules::read() else { return Verdict::Pass };
-    match effect(rules.text(), call, draw()) {
+    match effect(rules.text(), call, path, draw()) {
         None => Verdict::Pass,
         Some(Effect::Short) => Verdict::PassOneByte,
         Some(Effect::Delay) => {
@@ -39,6 +44,14 @@
     }
 }
 
+/// A path as text; empty where it is none.
+///
+/// # Safety
+/// The path is a C string.
+unsafe fn text<'a>(path: *const c_char) -> &'a str {
+    CStr::from_ptr(path).to_str().unwrap_or_default()
+}
+
 /// Carries out a call unless it is to fail.
 fn unless_failed(call: Call, carry_out: impl FnOnce() -> c_long) -> c_long {
     match judge(call) {
@@ -210,8 +223,10 @@
 /// As for `open(2)`.
 #[no_mangle]
 pub unsafe extern "C" fn open(path: *const c_char, flags: c_int, mode: mode_t) -> c_int {
-    let call = || libc::syscall(libc::SYS_openat, libc::AT_FDCWD, path, flags, mode as c_uint);
-    unless_failed(Call::Open, call) as c_int
+    match judge_with_path(Call::Open, text(path)) {
+        Verdict::Fail => FAILED as c_int,
+        _ => libc::syscall(libc::SYS_openat, libc::AT_FDCWD, path, flags, mode as c_uint) as c_int,
+    }
 }
 
 /// See `open(2)`.
@@ -248,8 +263,10 @@
 #[no_mangle]
 pub unsafe extern "C" fn rename(from: *const c_char, to: *const c_char) -> c_int {
     let directory = libc::AT_FDCWD;
-    let call = || libc::syscall(libc::SYS_renameat2, directory, from, directory, to, 0);
-    unless_failed(Call::Rename, call) as c_int
+    match judge_with_path(Call::Rename, text(to)) {
+        Verdict::Fail => FAILED as c_int,
+        _ => libc::syscall(libc::SYS_renameat2, directory, from, directory, to, 0) as c_int,
+    }
 }
 
 /// See `flock(2)`.
--- a/crates/fault-shim/src/rules.rs
+++ b/crates/fault-shim/src/rules.rs
@@ -1,4 +1,5 @@
-//! The rules for faults: one a line, `CALL EFFECT PERCENT`.
+//! The rules for faults: one a line, `CALL EFFECT PERCENT`, for `open` and `rename` also `CALL EFFECT PERCENT PATH` with
+//! the end of the file's path.
 //!
 //! - `accept ECONNABORTED 30`: three in ten calls of `accept` fail with that error. `connect`, `socket`, `wait`
 //!   (`epoll_wait`), `lock` (`flock`), `open`, `rename`, `sync` (`fsync`), `file-read`, `file-write`, `recv` and `send`
@@ -86,15 +87,16 @@
     ("ETIMEDOUT", libc::ETIMEDOUT),
 ];
 
-/// The effect of the first rule for a call that applies, with `draw` from 0 to 99 for chance. Lines that are no rule are
-/// ignored.
-pub fn effect(rules: &str, call: Call, draw: u32) -> Option<Effect> {
+/// The effect of the first rule for a call that applies, with `draw` from 0 to 99 for chance and the path that the call
+/// names, if any. Lines that are no rule are ignored.
+pub fn effect(rules: &str, call: Call, path: &str, draw: u32) -> Option<Effect> {
     let words = rules.lines().map(str::split_ascii_whitespace);
     let applies = |mut words: std::str::SplitAsciiWhitespace<'_>| {
         let named = lookup(&CALLS, words.next()?)?;
         let effect = parse_effect(words.next()?)?;
         let percent = words.next().map_or(Some(ALWAYS), |percent| percent.parse().ok())?;
-        (named == call && draw < percent).then_some(effect)
+        let is_named_path = words.next().is_none_or(|end| path.ends_with(end));
+        (named == call && draw < percent && is_named_path).then_some(effect)
     };
     words.filter_map(applies).next()
 }
--- a/crates/fault-shim/tests/rules.rs
+++ b/crates/fault-shim/tests/rules.rs
@@ -6,16 +6,23 @@
 
 #[test]
 fn rule_applies_to_its_call_by_chance() {
-    assert_eq!(effect(RULES, Call::Accept, 29), Some(Effect::Fail(103)));
-    assert_eq!(effect(RULES, Call::Accept, 30), None);
-    assert_eq!(effect(RULES, Call::Receive, 0), Some(Effect::Short));
-    assert_eq!(effect(RULES, Call::FileWrite, 99), Some(Effect::Fail(28)));
-    assert_eq!(effect(RULES, Call::Send, 0), None);
+    assert_eq!(effect(RULES, Call::Accept, "", 29), Some(Effect::Fail(103)));
+    assert_eq!(effect(RULES, Call::Accept, "", 30), None);
+    assert_eq!(effect(RULES, Call::Receive, "", 0), Some(Effect::Short));
+    assert_eq!(effect(RULES, Call::FileWrite, "", 99), Some(Effect::Fail(28)));
+    assert_eq!(effect(RULES, Call::Send, "", 0), None);
 }
 
 #[test]
 fn wall_clock_is_moved_by_its_rule_alone() {
     assert_eq!(clock_offset_ms(RULES), -3_600_000);
     assert_eq!(clock_offset_ms("accept ENFILE 10"), 0);
-    assert_eq!(effect("", Call::Accept, 0), None);
+    assert_eq!(effect("", Call::Accept, "", 0), None);
+}
+
+#[test]
+fn rule_may_name_the_end_of_a_path() {
+    let rules = "open EIO 100 held.json";
+    assert_eq!(effect(rules, Call::Open, "/tmp/t-held.json", 0), Some(Effect::Fail(5)));
+    assert_eq!(effect(rules, Call::Open, "/tmp/config.json", 0), None);
 }
--- a/tests/scenario/front_process.rs
+++ b/tests/scenario/front_process.rs
@@ -1,10 +1,12 @@
 //! The front under test: a process with its configuration file, log and console.
 
+use std::fs::{File, OpenOptions};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
 
+use nix::fcntl::{Flock, FlockArg};
 use tulipbridge_fault_shim::RULES_VARIABLE;
 
 use super::connection::{Connection, Message};
@@ -26,6 +28,8 @@
     front: Front,
     discovery: SocketAddr,
     uses_faults: bool,
+    /// The lock on the file of servers in maintenance, while the test holds it.
+    held_file_lock: Option<Flock<File>>,
     process: Child,
     /// Standard error; `None` once it is closed.
     log: Option<BufReader<ChildStderr>>,
@@ -58,7 +62,18 @@
         let discovery = discovery.address();
         let (process, log, address, console) = spawn(front, &folder, discovery, uses_faults);
         let log = Some(log);
-        FrontProcess { front, discovery, uses_faults, process, log, address, console, folder, config }
+        FrontProcess {
+            front,
+            discovery,
+            uses_faults,
+            held_file_lock: None,
+            process,
+            log,
+            address,
+            console,
+            folder,
+            config,
+        }
     }
 
     /// Kills the front and starts it again.
@@ -80,6 +95,19 @@
         std::fs::read_to_string(self.folder.join(HELD_FILE)).unwrap_or_default()
     }
 
+    /// Takes the lock on the file of servers in maintenance.
+    pub fn lock_held_file(&mut self) {
+        let path = self.folder.join(HELD_FILE).with_extension("lock");
+        let file = OpenOptions::new().create(true).truncate(false).write(true).open(path);
+        let lock = Flock::lock(file.expect("opened"), FlockArg::LockExclusive);
+        self.held_file_lock = Some(lock.expect("locked"));
+    }
+
+    /// Gives that lock back.
+    pub fn unlock_held_file(&mut self) {
+        self.held_file_lock = None;
+    }
+
     /// Sends a signal, such as `HUP`.
     pub fn signal(&self, name: &str) {
         let process_id = self.process.id().to_string();
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -24,6 +24,7 @@
 //!   start if ahead of all other lines; `faults none`: no more
 //! - `restart`: the front is killed and started again, with the same file and folder; its clients have to connect anew
 //! - `await held TEXT`: until the front's file of servers in maintenance holds that text
+//! - `lock held`, `unlock held`: another process has the lock on that file, or gives it back
 //! - `await ready`: until the front answers `GET /health/ready` with 200
 //! - `load s0 500 at-most 9 PUT /path ..`: for so many milliseconds a client of its own sends that request again and
 //!   again, and what reaches the server is answered with 200 (`at-least` alike)
@@ -142,6 +143,8 @@
                 self.front.restart();
                 self.clients = Clients::new(self.clients.front(), self.front.address);
             }
+            "lock" => self.front.lock_held_file(),
+            "unlock" => self.front.unlock_held_file(),
             "load" => self.load(party, rest),
             "reload" => self.reload(arguments),
             "retune" => {
--- a/tests/system_faults.rs
+++ b/tests/system_faults.rs
@@ -80,4 +80,47 @@
         await app_cluster_unhealthy 1
         wait 700
         load s0 1000 at-least 50 GET /api";
+
+    server_stays_in_maintenance_although_the_folder_was_full: Platform, 2, "
+        faults none
+        expect d
+        faults file-write ENOSPC 100
+        send console PUT /maintenance/enter/s-0
+        faults none
+        await held s-0
+        restart
+        await app_cluster_unhealthy 1
+        send c1 GET /api shard:0
+        expect c1
+        send c1 GET /api shard:1
+        expect s1
+        send s1 200 | the other
+        expect c1";
+
+    servers_in_maintenance_are_kept_although_their_file_was_unreadable: Platform, 2, "
+        faults none
+        expect d
+        send console PUT /maintenance/enter/s-0
+        await held s-0
+        faults open EIO 100 held.json
+        restart
+        send console PUT /maintenance/enter/s-1
+        faults none
+        await held s-1
+        await held s-0
+        await app_cluster_unhealthy 2";
+
+    stopped_process_with_the_lock_delays_no_request: Platform, 2, "
+        faults none
+        expect d
+        lock held
+        within 1000 send console PUT /maintenance/enter/s-0
+        send c1 GET /api shard:0
+        expect c1
+        send c1 GET /api shard:1
+        expect s1
+        send s1 200 | the other
+        expect c1
+        unlock held
+        await held s-0";
 }
