Keep a maintenance change until it is written, and wait for no lock on the only thread

Cause: Maintenance::write logged an error and went on; MaintenanceFile::read made an unreadable file into no file, so that the next change dropped what another version held; MaintenanceFile::lock blocked the front's only thread. FrontParts::serve is the one end of both fronts.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -79,6 +79,7 @@
 pub mod graceful_shutdown;
 mod interface;
 pub mod maintenance;
+pub mod maintenance_changes;
 pub mod mutations;
 mod policy;
 pub mod request_tracker;
--- /dev/null
+++ b/crates/core/src/maintenance_changes.rs
@@ -0,0 +1,58 @@
+//! Changes to the servers in maintenance that are in force here and not in the shared file yet.
+//!
+//! A call of the operators is owed from the moment at which it is answered, and other processes of this front learn of it
+//! from the file alone. While the file cannot be read, locked or written, the change waits here. It is applied to whatever
+//! the file holds then, so that it overwrites nothing that another process has changed meanwhile.
+//!
+//! No I/O and no clock.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A change for one server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MaintenanceChange {
+    /// Its maintenance has begun.
+    Entered,
+    /// Its maintenance has ended.
+    Exited,
+}
+
+/// The changes that wait to be written: of each server the latest.
+#[derive(Clone, Debug)]
+pub struct UnwrittenChanges<K> {
+    changes: BTreeMap<K, MaintenanceChange>,
+}
+
+impl<K> Default for UnwrittenChanges<K> {
+    fn default() -> UnwrittenChanges<K> {
+        UnwrittenChanges { changes: BTreeMap::new() }
+    }
+}
+
+impl<K: Ord + Clone> UnwrittenChanges<K> {
+    /// Records a change.
+    pub fn record(&mut self, key: &K, change: MaintenanceChange) {
+        self.changes.insert(key.clone(), change);
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+
+    /// The set that the file should hold, by what it holds now.
+    pub fn apply_to(&self, mut written: BTreeSet<K>) -> BTreeSet<K> {
+        for (key, change) in &self.changes {
+            match change {
+                MaintenanceChange::Entered => written.insert(key.clone()),
+                MaintenanceChange::Exited => written.remove(key),
+            };
+        }
+        written
+    }
+
+    /// The file holds all changes.
+    pub fn written(&mut self) {
+        self.changes.clear();
+    }
+}
--- a/src/control/console.rs
+++ b/src/control/console.rs
@@ -163,7 +163,7 @@
         let path = head.uri.path();
         match (&head.method, path.strip_prefix("/maintenance/")) {
             (&Method::GET, None) => self.answer_get(path),
-            (&Method::PUT, Some(rest)) => self.answer_maintenance(rest),
+            (&Method::PUT, Some(rest)) => self.answer_maintenance(rest).await,
             (_, Some(_)) => plain(StatusCode::METHOD_NOT_ALLOWED, "maintenance is called with PUT\n"),
             (_, None) if path == "/status" || path == "/status/metrics" => {
                 plain(StatusCode::METHOD_NOT_ALLOWED, "status is called with GET\n")
@@ -220,15 +220,15 @@
         }
     }
 
-    fn answer_maintenance(&self, path: &str) -> ConsoleResponse {
+    async fn answer_maintenance(&self, path: &str) -> ConsoleResponse {
         let Some(call) = MaintenanceCall::parse(path) else {
             let usage = "maintenance is /maintenance/enter/ID or /maintenance/exit/ID\n";
             return plain(StatusCode::NOT_FOUND, usage);
         };
         let MaintenanceCall { action, server } = call;
         let changed = match action {
-            MaintenanceAction::Enter => self.parts.maintenance.enter(&server),
-            MaintenanceAction::Exit => self.parts.maintenance.exit(&server),
+            MaintenanceAction::Enter => self.parts.maintenance.enter(&server).await,
+            MaintenanceAction::Exit => self.parts.maintenance.exit(&server).await,
         };
         match changed {
             Ok(()) => {
--- a/src/control/maintenance_file.rs
+++ b/src/control/maintenance_file.rs
@@ -1,11 +1,12 @@
 //! The file that tells other versions of a front on the same machine which chunk servers are in maintenance.
 //!
-//! It is replaced as a whole by a rename, so that no reader sees a part of it. A process that changes the set locks a
-//! second file while it reads, changes and writes, so that concurrent changes are not lost.
+//! It is replaced as a whole by a rename after the new content is on the disk, so that no reader sees a part of it and a
+//! kill at any moment leaves one of the two. A process that changes the set locks a second file while it reads, changes
+//! and writes, so that concurrent changes are not lost. Nothing here waits for another process.
 
 use std::collections::BTreeSet;
 use std::fs::{File, OpenOptions};
-use std::io;
+use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
 use nix::fcntl::{Flock, FlockArg};
@@ -27,9 +28,16 @@
         &self.path
     }
 
-    /// The content of the file; `None` where there is none that can be read.
-    pub fn read(&self) -> Option<Vec<u8>> {
-        std::fs::read(&self.path).ok()
+    /// The content of the file; `None` where there is no file.
+    ///
+    /// # Errors
+    /// The system's, where the file cannot be read: it may have any content.
+    pub fn read(&self) -> io::Result<Option<Vec<u8>>> {
+        match std::fs::read(&self.path) {
+            Ok(content) => Ok(Some(content)),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
     }
 
     /// Replaces the file.
@@ -38,15 +46,22 @@
     /// The system's, where the file cannot be written.
     pub fn replace(&self, content: &[u8]) -> io::Result<()> {
         let next = self.path.with_extension("json.next");
-        std::fs::write(&next, content)?;
-        std::fs::rename(&next, &self.path)
+        let mut file = File::create(&next)?;
+        file.write_all(content)?;
+        file.sync_all()?;
+        std::fs::rename(&next, &self.path)?;
+        // Without this the rename itself may be lost with the machine.
+        self.path.parent().map_or(Ok(()), |folder| File::open(folder)?.sync_all())
     }
 
-    /// Waits for the lock on the set, which the result releases on drop; `None` where locking fails.
-    pub fn lock(&self) -> Option<Flock<File>> {
+    /// Takes the lock on the set, which the result releases on drop.
+    ///
+    /// # Errors
+    /// Another process has the lock, or the system cannot lock.
+    pub fn lock(&self) -> io::Result<Flock<File>> {
         let path = self.path.with_extension("lock");
-        let file = OpenOptions::new().create(true).truncate(false).write(true).open(path).ok()?;
-        Flock::lock(file, FlockArg::LockExclusive).ok()
+        let file = OpenOptions::new().create(true).truncate(false).write(true).open(path)?;
+        Flock::lock(file, FlockArg::LockExclusiveNonblock).map_err(|(_, errno)| errno.into())
     }
 }
 
--- a/src/front/assembly.rs
+++ b/src/front/assembly.rs
@@ -1,13 +1,15 @@
 //! Assembles the parts behind a front and starts their background tasks.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 use tulipbridge_core::discovery_watch::FIRST_CALL_SPREAD;
 use tulipbridge_core::{Nanos, Settings};
 
@@ -17,11 +19,11 @@
 use crate::control::console::{self, Console, ConsoleParts};
 use crate::control::discovery::Discovery;
 use crate::control::endpoint_list::EndpointListReader;
-use crate::control::maintenance::Maintenance;
+use crate::control::maintenance::{state_folder, Maintenance};
 use crate::control::readiness::Readiness;
 use crate::exchange::Exchange;
 use crate::front::error::FrontError;
-use crate::frontend::listener::ListenerState;
+use crate::frontend::listener::{Handler, Listener, ListenerState};
 use crate::limits::MAX_BODY;
 use crate::telemetry::metrics::Metrics;
 use crate::upstream::Upstream;
@@ -38,6 +40,10 @@
 /// How often expired connections to chunk servers are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long after a signal to shut down changes that could not be written are tried. The process is not killed before
+/// three seconds are over, however short the deadlines.
+const WRITE_CHANGES_WITHIN: Duration = Duration::from_millis(3_000);
+
 /// The parts behind a front.
 pub struct FrontParts {
     /// Schedules requests and sends their attempts.
@@ -56,6 +62,28 @@
     pub max_clients: usize,
 }
 
+impl FrontParts {
+    /// Serves clients until `shutdown` completes, then returns once all that is owed is done: every request answered, every
+    /// change of the operators written.
+    pub async fn serve<H: Handler>(
+        &self,
+        handler: H,
+        listener: TcpListener,
+        shutdown: impl Future<Output = ()>,
+    ) {
+        let shutdown_at = Cell::new(Instant::now());
+        let shutdown = async {
+            shutdown.await;
+            shutdown_at.set(Instant::now());
+        };
+        Listener::new(handler, self.max_clients, self.listener_state.clone()).serve(listener, shutdown).await;
+        if let Some(peers) = &self.peers {
+            peers.shut_down();
+        }
+        self.maintenance.written(shutdown_at.get() + WRITE_CHANGES_WITHIN).await;
+    }
+}
+
 /// Assembles the parts behind a front, with discovery at the address that `discovery_address` publishes.
 ///
 /// # Errors
@@ -70,8 +98,7 @@
     let metrics = Rc::new(Metrics::new());
     // Before the first endpoint list, since the peers follow every list.
     let peers = join_peers(config, &exchange, &metrics)?;
-    let state_folder = std::env::var_os("TMPDIR").map(PathBuf::from);
-    let maintenance = Maintenance::new(state_folder, &config.name, Rc::clone(&exchange));
+    let maintenance = Maintenance::new(state_folder(), &config.name, Rc::clone(&exchange));
     let readiness = Readiness::default();
     start_discovery(config, discovery_address, &exchange, &maintenance, readiness.clone())?;
     spawn_local(Rc::clone(&maintenance).follow());
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -12,9 +12,9 @@
 
 use crate::config::reload::SettingsReload;
 use crate::config::Config;
+use crate::control::maintenance::{state_folder, wait_until_readable};
 use crate::front::assembly::assemble;
 use crate::front::error::FrontError;
-use crate::frontend::listener::Listener;
 use crate::frontend::platform::{PlatformFront, RequestTables};
 use crate::frontend::socket::listen;
 use crate::runtime::{hangup_signal, on_one_thread, shutdown_signal};
@@ -33,6 +33,7 @@
     let hangup = hangup_signal()?;
     // Before the listener opens, so that no client connects to a front that cannot run.
     config.settings.check()?;
+    wait_until_readable(state_folder().as_deref(), &config.name).await;
     let listener = listen(config.listen).await?;
     let (discovery, discovery_address) = watch::channel(config.discovery);
     let parts = assemble(&config, discovery_address)?;
@@ -46,10 +47,7 @@
         peers: parts.peers.clone(),
     };
     spawn_local(reload.follow(hangup, Config::reread_from_env));
-    let handler = PlatformFront::new(Rc::clone(&parts.exchange), tables, parts.readiness);
-    Listener::new(handler, parts.max_clients, parts.listener_state).serve(listener, shutdown).await;
-    if let Some(peers) = &parts.peers {
-        peers.shut_down();
-    }
+    let handler = PlatformFront::new(Rc::clone(&parts.exchange), tables, parts.readiness.clone());
+    parts.serve(handler, listener, shutdown).await;
     Ok(())
 }
--- a/src/object/mod.rs
+++ b/src/object/mod.rs
@@ -25,10 +25,10 @@
 
 use crate::cluster::errors::ReloadError;
 use crate::cluster::peers::Peers;
+use crate::control::maintenance::{state_folder, wait_until_readable};
 use crate::front::assembly::assemble;
 use crate::front::discovery_address::watch_discovery_address;
 use crate::front::error::FrontError;
-use crate::frontend::listener::Listener;
 use crate::frontend::socket::{listen, ListenError};
 use crate::runtime::{on_one_thread, shutdown_signal, RuntimeError};
 
@@ -73,14 +73,12 @@
     let joined = Rc::clone(&peers);
     let discovery_address = watch_discovery_address(config.base.discovery, move || reload(&file, &joined))?;
     config.base.settings.check().map_err(FrontError::from)?;
+    wait_until_readable(state_folder().as_deref(), &config.base.name).await;
     let listener = listen(config.base.listen).await?;
     let parts = assemble(&config.base, discovery_address)?;
     peers.borrow_mut().clone_from(&parts.peers);
-    let front = ObjectFront::new(parts.exchange, config, parts.readiness);
-    Listener::new(front, parts.max_clients, parts.listener_state).serve(listener, shutdown).await;
-    if let Some(peers) = &parts.peers {
-        peers.shut_down();
-    }
+    let front = ObjectFront::new(Rc::clone(&parts.exchange), config, parts.readiness.clone());
+    parts.serve(front, listener, shutdown).await;
     Ok(())
 }
 
--- a/tests/scenario/front_process.rs
+++ b/tests/scenario/front_process.rs
@@ -198,7 +198,8 @@
     if uses_faults {
         command.env("LD_PRELOAD", shim()).env(RULES_VARIABLE, folder.join(RULES_FILE));
     }
-    let mut process = command.stderr(Stdio::piped()).spawn().expect("the program starts");
+    let mut process =
+        command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().expect("the program starts");
     let mut log = BufReader::new(process.stderr.take().expect("a pipe"));
     let address = read_address(&mut log, "listening on ");
     let console = read_address(&mut log, "console on ");
@@ -239,10 +240,13 @@
     config.replacen(from, to, 1)
 }
 
-/// The address at the end of the next line of the log.
+/// The address at the end of the next line of the log with this prefix.
 fn read_address(log: &mut impl BufRead, prefix: &str) -> SocketAddr {
     let mut line = String::new();
-    log.read_line(&mut line).expect("the log is readable");
+    while !line.contains(prefix) {
+        line.clear();
+        assert!(log.read_line(&mut line).expect("the log is readable") > 0, "no line with '{prefix}'");
+    }
     let address = line.trim().rsplit_once(prefix).and_then(|(_, address)| address.parse().ok());
     address.unwrap_or_else(|| panic!("no address after '{prefix}': {line}"))
 }
