Add a test that fails: a tick visits all servers of a large fleet

Cause: count_overdue, accrue_warmup_budgets and detect_silence walk the whole table at each tick of 10 ms. Measured: 3,200 visited where 0 need it.

--- a/crates/core/src/state/scheduler.rs
+++ b/crates/core/src/state/scheduler.rs
@@ -138,6 +138,11 @@
         (listed().count(), listed().filter(is_avoided).count())
     }
 
+    /// The number of chunk servers that the next tick visits.
+    pub fn nodes_per_tick(&self) -> usize {
+        self.nodes.len()
+    }
+
     /// Whether no request is waiting and no attempt is in flight.
     pub fn is_at_rest(&self) -> bool {
         let in_flight = self.nodes.values().any(|node| !node.in_flight.is_empty());
--- /dev/null
+++ b/crates/core/tests/large_fleet.rs
@@ -0,0 +1,25 @@
+//! What a front with thousands of servers does at each tick.
+
+mod common;
+
+use common::*;
+use tulipbridge_core::*;
+
+const NODES: usize = 3_200;
+
+#[test]
+fn a_tick_visits_only_servers_that_something_changes_at() {
+    let mut front = TestFront::new(settings(), NODES);
+    front.advance(3 * S);
+    assert_eq!(front.scheduler.nodes_per_tick(), 0);
+    for id in 0..5 {
+        front.submit(request(id, 0, Some(id as CellId)));
+    }
+    front.advance(10 * MS);
+    assert_eq!(front.scheduler.nodes_per_tick(), 5);
+    for id in 0..5 {
+        front.end_attempt(id, 0, id as NodeId, Outcome::Served, 20 * MS);
+    }
+    front.advance(10 * S);
+    assert_eq!(front.scheduler.nodes_per_tick(), 0);
+}
