Visit at a tick only the servers at which something changes with time

Cause: three loops of policy walked all servers 100 times a second, so that CPU grew with the fleet. Change: state/active_nodes.rs keeps the servers with attempts in flight, a warm-up, or a weight on its way back; control periods of a server that comes back are aligned to ticks as they would have been. Budgets of the slow start accrue only in one; a full list is compared by a set; the draw for a new object skips the exponential of servers not heard of.

--- a/crates/core/src/ejection.rs
+++ b/crates/core/src/ejection.rs
@@ -77,6 +77,7 @@
             if node.warmup_since.is_none() {
                 node.start_warmup(now, now + READMIT_WARMUP);
                 node.warmup_budget = 0.0;
+                self.activate(at);
             }
         }
     }
--- a/crates/core/src/policy/admission.rs
+++ b/crates/core/src/policy/admission.rs
@@ -64,7 +64,8 @@
     /// Counts overdue attempts as failed before any outcome, as a server without answers shows nothing else.
     pub(super) fn count_overdue(&mut self) {
         let mut overdue = Vec::new();
-        for (id, node) in &mut self.nodes {
+        for id in &self.active_nodes {
+            let Some(node) = self.nodes.get_mut(id) else { continue };
             let overtaken_before = node.newest_answered_send;
             for sent in node.in_flight.values_mut().filter(|s| !s.counted && self.now > s.due_at) {
                 sent.counted = true;
--- a/crates/core/src/policy/congestion.rs
+++ b/crates/core/src/policy/congestion.rs
@@ -91,10 +91,14 @@
         self.period_congested |= fast > self.slow_latency * CONGESTION_RATIO;
     }
 
-    /// Ends a period of one round trip: a congested one cuts the weight, a clean one restores a step.
+    /// The length of a control period: one round trip.
+    pub(crate) fn period_length(&self) -> Nanos {
+        self.fast_latency.map_or(INITIAL_PERIOD, |fast| fast as Nanos).max(PERIOD_MIN)
+    }
+
+    /// Ends a period: a congested one cuts the weight, a clean one restores a step.
     pub(super) fn end_period(&mut self, now: Nanos) {
-        let length = self.fast_latency.map_or(INITIAL_PERIOD, |fast| fast as Nanos).max(PERIOD_MIN);
-        if now - self.period_started_at < length {
+        if now - self.period_started_at < self.period_length() {
             return;
         }
         self.weight = if self.period_congested {
--- a/crates/core/src/policy/discovery.rs
+++ b/crates/core/src/policy/discovery.rs
@@ -64,6 +64,7 @@
         if has_started && now - info.started_at < warmup {
             node.start_warmup(info.started_at, info.started_at + warmup);
             node.warmup_budget = jitter * mean_units;
+            self.activate(info.node);
         }
     }
 }
--- a/crates/core/src/policy/health.rs
+++ b/crates/core/src/policy/health.rs
@@ -45,7 +45,8 @@
     /// Marks silent servers as suspect: guards against hangs, partitions, dead machines and long stalls.
     pub(super) fn detect_silence(&mut self, actions: &mut Actions) {
         let (now, span) = (self.now, self.settings.overload_window());
-        for (id, node) in &mut self.nodes {
+        for id in &self.active_nodes {
+            let Some(node) = self.nodes.get_mut(id) else { continue };
             if node.is_silent(now) {
                 if node.is_healthy() {
                     actions.push(Action::Log { text: "node is silent", node: *id });
@@ -56,6 +57,7 @@
             node.end_period(now);
             node.expire_warmup(now, span);
         }
+        self.retire_resting_nodes();
     }
 
     /// Updates health after an attempt and returns a log line if the server has recovered. A failure,
--- a/crates/core/src/policy/placement.rs
+++ b/crates/core/src/policy/placement.rs
@@ -43,7 +43,8 @@
     }
 
     pub(super) fn dispatch_all(&mut self, actions: &mut Actions) {
-        for cell in self.queues.keys().copied().collect::<Vec<_>>() {
+        let waiting = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
+        for cell in waiting.map(|(cell, _)| *cell).collect::<Vec<_>>() {
             self.dispatch(cell, actions);
         }
     }
@@ -175,8 +176,9 @@
 
 /// Prefers fast servers with recent answers, as the weight adapts too slowly for one front of a hundred.
 fn speed_factor(node: &Node, mean_latency: f64, now: Nanos) -> f64 {
-    let speed = mean_latency.max(1.0) / node.fast_latency.unwrap_or(mean_latency).max(1.0);
-    let silence = node.fast_latency.map_or(f64::INFINITY, |_| (now - node.latency_updated_at) as f64);
+    let Some(fast_latency) = node.fast_latency else { return SPEED_DECAY_MIN };
+    let speed = mean_latency.max(1.0) / fast_latency.max(1.0);
+    let silence = (now - node.latency_updated_at) as f64;
     let decay = (-silence / SPEED_MEMORY_NS).exp().max(SPEED_DECAY_MIN);
     decay * speed.powi(SPEED_EXPONENT).clamp(1.0 / SPEED_FACTOR_MAX, SPEED_FACTOR_MAX)
 }
--- a/crates/core/src/policy/slow_start.rs
+++ b/crates/core/src/policy/slow_start.rs
@@ -60,9 +60,10 @@
         self.last_tick_at = self.now;
         let peak_factor = self.warmup_factor * self.settings.tip_multiple;
         let max_budget = self.settings.mean_units * BUDGET_MAX_MEAN_REQUESTS;
-        for node in self.nodes.values_mut() {
-            let age = node.warmup_since.map(|since| self.now - since);
-            let fraction = age.map_or(1.0, |age| self.settings.warm_fraction(age));
+        for id in &self.active_nodes {
+            let Some(node) = self.nodes.get_mut(id) else { continue };
+            let Some(since) = node.warmup_since else { continue };
+            let fraction = self.settings.warm_fraction(self.now - since);
             let factor = (peak_factor * fraction).min(self.warmup_factor.max(1.0));
             let accrued = factor * node.warm_rate.max(self.mean_warm_rate) * elapsed_seconds;
             node.warmup_budget = (node.warmup_budget + accrued).min(max_budget);
--- a/crates/core/src/state/bookkeeping.rs
+++ b/crates/core/src/state/bookkeeping.rs
@@ -121,6 +121,7 @@
         let warmup_since = self.nodes.get(&at).and_then(|node| node.warmup_since);
         let growth = warmup_since.map(|since| self.warmup_growth(since));
         let is_probe = self.live.get(&id).is_some_and(|live| self.may_probe(&live.request));
+        self.activate(at);
         let (Some(live), Some(node)) = (self.live.get_mut(&id), self.nodes.get_mut(&at)) else { return };
         let units = live.request.units;
         if live.attempts > 0 {
@@ -131,7 +132,9 @@
         if let Some(growth) = growth {
             node.limits.record_warmup_units(sent.sent_at, units / growth);
         }
-        node.warmup_budget -= units;
+        if node.warmup_since.is_some() {
+            node.warmup_budget -= units;
+        }
         if is_probe {
             node.ejection.record_probe();
         }
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! The state of the decision module and its bookkeeping. No decision is made here and no constant of a decision is
 //! chosen here: both are in [`crate::policy`].
 
+mod active_nodes;
 mod admission;
 mod bookkeeping;
 mod fingerprint;
--- a/crates/core/src/state/node.rs
+++ b/crates/core/src/state/node.rs
@@ -231,6 +231,7 @@
     pub fn expire_warmup(&mut self, now: Nanos, span: Nanos) {
         if self.warmup_since.is_some() && now >= self.warmup_until {
             self.warmup_since = None;
+            self.warmup_budget = 0.0;
         }
         while self.warmup_sends.front().is_some_and(|send| send.sent_at <= now - span) {
             self.warmup_sends.pop_front();
--- a/crates/core/src/state/node_table.rs
+++ b/crates/core/src/state/node_table.rs
@@ -1,5 +1,7 @@
 //! The table of chunk servers and its index by shard.
 
+use std::collections::BTreeSet;
+
 use crate::interface::{CellId, Listed, NodeId, NodeInfo};
 use crate::mutations::{mutated, Mutation};
 use crate::state::{Node, Scheduler};
@@ -46,8 +48,9 @@
 
     /// Marks the chunk servers that are missing in a complete list as removed.
     pub(crate) fn mark_unlisted_removed(&mut self, listed: &[NodeInfo]) {
+        let listed: BTreeSet<NodeId> = listed.iter().map(|info| info.node).collect();
         for (id, node) in &mut self.nodes {
-            if !listed.iter().any(|info| info.node == *id) {
+            if !listed.contains(id) {
                 node.listed = Listed::Removed;
             }
         }
--- a/crates/core/src/state/scheduler.rs
+++ b/crates/core/src/state/scheduler.rs
@@ -1,6 +1,6 @@
 //! The scheduler's fields, its creation and its settings.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::fleet_limits::FleetLimits;
 use crate::interface::{CellId, KeyId, Listed, Nanos, NodeId, RequestId, Settings, SettingsError, VolumeId};
@@ -21,6 +21,8 @@
     pub(crate) nodes: BTreeMap<NodeId, Node>,
     /// The chunk servers of each shard, also those that were removed from the endpoint list.
     pub(crate) cells: BTreeMap<CellId, Vec<NodeId>>,
+    /// The servers that the next tick visits.
+    pub(crate) active_nodes: BTreeSet<NodeId>,
     pub(crate) queues: BTreeMap<CellId, Vec<RequestId>>,
     pub(crate) live: BTreeMap<RequestId, LiveRequest>,
     pub(crate) volumes: BTreeMap<VolumeId, Volume>,
@@ -69,6 +71,7 @@
             started: false,
             nodes: BTreeMap::new(),
             cells: BTreeMap::new(),
+            active_nodes: BTreeSet::new(),
             queues: BTreeMap::new(),
             live: BTreeMap::new(),
             volumes: BTreeMap::new(),
@@ -140,7 +143,7 @@
 
     /// The number of chunk servers that the next tick visits.
     pub fn nodes_per_tick(&self) -> usize {
-        self.nodes.len()
+        self.active_nodes.len()
     }
 
     /// Whether no request is waiting and no attempt is in flight.
