Add three tests that fail for faults nobody has listed: stall, log, later request

A front that is stopped for 0.8 s tells a server 1,499 ms of a request that has 700 ms left; a log whose reader stands still stops the front; a client that stops in its second request has its error after 6.07 s, where 3 s are owed.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -105,6 +105,50 @@
         expect c1
         wait front";
 
+    // A front that is held up.
+
+    server_is_told_no_more_time_than_a_client_has_left_after_a_stall: Platform, 1, "
+        send c1 GET /api
+        expect s0
+        send s0 200 | first
+        expect c1
+        signal STOP
+        send c1 GET /api X-Remaining:1500m
+        send c2 GET /api X-Remaining:1500m
+        wait 800
+        signal CONT
+        expect s0 told-at-most 850
+        send s0 200 | in time
+        expect s0 told-at-most 850
+        send s0 200 | in time";
+
+    log_that_nobody_reads_delays_no_request: Platform, 1, "
+        expect d
+        send c1 GET /api
+        expect s0
+        send s0 200 | first
+        expect c1
+        flood d 5000
+        wait 300
+        send c1 GET /api
+        expect s0
+        send s0 200 | second
+        expect c1";
+
+    client_that_stops_in_a_later_request_gets_its_error_in_time: Platform, 1, "
+        send c1 GET /api
+        expect s0
+        send s0 200 | first
+        expect c1
+        send c1 raw GET /api HTTP/1.1\\r\\nHost: t\\r\\nX-Txn: 00000000000000a1\\r\\n
+        within 3000 expect c1
+        send c2 GET /api
+        expect s0
+        send s0 200 | first
+        expect c2
+        send c2 raw PUT /api HTTP/1.1\\r\\nHost: t\\r\\nContent-Length: 8\\r\\nX-Txn: 00000000000000a2\\r\\n\\r\\n
+        within 3000 expect c2";
+
     // Clients that disconnect.
 
     write_is_not_sent_when_its_client_disconnects_during_the_dial: Platform, 2, "
--- a/tests/scenario/discovery.rs
+++ b/tests/scenario/discovery.rs
@@ -112,6 +112,14 @@
         panic!("the watch is taken for one that works");
     }
 
+    /// Sends messages that are no lists.
+    pub fn flood(&mut self, count: usize) {
+        let watch = self.watch.as_mut().expect("a watch");
+        for _ in 0..count {
+            watch.write(b"3\r\n[]\n\r\n");
+        }
+    }
+
     /// Closes the watch.
     pub fn close_watch(&mut self) {
         self.watch = None;
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -6,6 +6,8 @@
 //!   request is at the server
 //! - `expect s0`: the next request at the server; `expect c1`: the next response at the client
 //! - `expect s0 cookie`: the same, and the value of that header
+//! - `expect s0 told-at-most 800`: the next request, and whether it tells the server at most so many milliseconds
+//! - `flood d 3000`: so many messages on the watch that are no lists, each of which the front logs; nobody reads the log
 //! - `expect s0 left`: the front closes the connection of the oldest request at the server
 //! - `send s0 200 Name:value .. | body`: answers the oldest request at the server (`part` truncates the body; `raw`
 //!   sends bytes, and the connection is not used any more; `unasked` sends bytes on connections without a request)
@@ -143,6 +145,7 @@
                 self.front.restart();
                 self.clients = Clients::new(self.clients.front(), self.front.address);
             }
+            "flood" => self.discovery.flood(rest.parse().expect("a number")),
             "lock" => self.front.lock_held_file(),
             "unlock" => self.front.unlock_held_file(),
             "load" => self.load(party, rest),
@@ -246,6 +249,10 @@
                 self.transcript.line(format_args!("crowd: {count} closed: {closed}"));
             }
             (_, Some(_)) if rest == "left" => self.expect_abandoned(party),
+            (_, Some(_)) if rest.starts_with("told-at-most ") => {
+                let limit = rest.rsplit_once(' ').and_then(|(_, limit)| limit.parse().ok());
+                self.expect_told(party, limit.expect("a time"));
+            }
             (_, Some(_)) => {
                 let request = self.receive_at(party);
                 self.transcript.message(party, &request);
@@ -261,6 +268,16 @@
         }
     }
 
+    /// The next request at a server tells it at most so many milliseconds.
+    fn expect_told(&mut self, server: &str, limit_ms: u64) {
+        let request = self.receive_at(server);
+        self.transcript.message(server, &request);
+        let told = request.headers.get("x-remaining").and_then(|told| told.strip_suffix('u'));
+        let told_ms = told.and_then(|told| told.parse::<u64>().ok()).expect("a time") / 1_000;
+        eprintln!("told {told_ms} ms, at most {limit_ms}");
+        self.transcript.line(format_args!("{server} told at most {limit_ms}: {}", told_ms <= limit_ms));
+    }
+
     /// The front closes the connection of a server's oldest request.
     fn expect_abandoned(&mut self, server: &str) {
         let result = self.server(server).take_oldest().read_message();
