Ask one place whether an attempt may begin, and count broken rules at run time

Cause: what forbids an attempt was asked in three places, and nothing told a running front that it had broken a rule.

--- a/crates/core/src/interface/events.rs
+++ b/crates/core/src/interface/events.rs
@@ -25,7 +25,7 @@
 
 impl Outcome {
     /// Whether the chunk server may have executed the attempt.
-    pub(crate) fn may_have_executed(self) -> bool {
+    pub fn may_have_executed(self) -> bool {
         !matches!(self, Outcome::Rejected | Outcome::NotExecuted | Outcome::NotSent)
     }
 
--- /dev/null
+++ b/crates/core/src/invariant_monitor.rs
@@ -0,0 +1,185 @@
+//! Checks the rules of requests while a front runs.
+//!
+//! The monitor sees the inputs and effects of the request tracker and judges them by the rules alone. It shares nothing
+//! with the decisions: where they break a rule all the same, the caller counts and logs it.
+//!
+//! No I/O and no clock: the caller passes the time.
+
+use std::collections::BTreeMap;
+
+use crate::interface::{Group, Listed, Nanos, NodeId, Outcome, RequestId, Semantics, Settings, UpdateScope};
+use crate::request_tracker::{Effect, FinalAnswer, Input};
+
+/// A rule of requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Rule {
+    /// Each request has one final answer.
+    OneAnswer,
+    /// Nothing is sent for a request that has been answered or whose client has gone.
+    NothingAfterTheEnd,
+    /// Nothing is sent to a server that drains or is gone.
+    CleanDrain,
+    /// No two attempts of a request are in flight together.
+    OneAttemptAtATime,
+    /// A request that may have been executed is repeated only as its class allows.
+    NoDoubleEffect,
+    /// A rejection promises that trying again is harmless.
+    HarmlessRejection,
+}
+
+impl Rule {
+    /// All rules.
+    pub const ALL: [Rule; 6] = [
+        Rule::OneAnswer,
+        Rule::NothingAfterTheEnd,
+        Rule::CleanDrain,
+        Rule::OneAttemptAtATime,
+        Rule::NoDoubleEffect,
+        Rule::HarmlessRejection,
+    ];
+
+    /// The name of the rule in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Rule::OneAnswer => "one_answer",
+            Rule::NothingAfterTheEnd => "nothing_after_the_end",
+            Rule::CleanDrain => "clean_drain",
+            Rule::OneAttemptAtATime => "one_attempt_at_a_time",
+            Rule::NoDoubleEffect => "no_double_effect",
+            Rule::HarmlessRejection => "harmless_rejection",
+        }
+    }
+}
+
+/// A rule that was broken, and by which request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// The rule.
+    pub rule: Rule,
+    /// The request.
+    pub request: RequestId,
+}
+
+/// A request under way.
+#[derive(Clone, Debug)]
+struct MonitoredRequest {
+    semantics: Semantics,
+    group: Group,
+    window: Nanos,
+    /// Its final answer was given, or its client has gone.
+    ended: bool,
+    answered: bool,
+    /// When the first attempt was sent that may have been executed.
+    executed_since: Option<Nanos>,
+    /// When each attempt in flight was sent.
+    in_flight: BTreeMap<u32, Nanos>,
+}
+
+/// Follows the requests of a front.
+#[derive(Clone, Debug, Default)]
+pub struct InvariantMonitor {
+    requests: BTreeMap<RequestId, MonitoredRequest>,
+    listed: BTreeMap<NodeId, Listed>,
+}
+
+impl InvariantMonitor {
+    /// Records an input before it is handled.
+    pub fn input(&mut self, input: &Input, settings: &Settings) {
+        match input {
+            Input::RequestReceived(request) => {
+                let Some(class) = settings.classes.get(request.class) else { return };
+                let monitored = MonitoredRequest {
+                    semantics: class.semantics,
+                    group: class.group,
+                    window: class.window,
+                    ended: false,
+                    answered: false,
+                    executed_since: None,
+                    in_flight: BTreeMap::new(),
+                };
+                self.requests.insert(request.id, monitored);
+            }
+            Input::ClientGone(id) => {
+                self.requests.entry(*id).and_modify(|request| request.ended = true);
+            }
+            Input::AttemptEnded { id, attempt, outcome, .. } => self.attempt_ended(*id, *attempt, *outcome),
+            Input::AttemptTimedOut { id, attempt } => self.attempt_ended(*id, *attempt, Outcome::TimedOut),
+            Input::AttemptCancelled { id, attempt } => self.attempt_ended(*id, *attempt, Outcome::Cancelled),
+            Input::Endpoints { scope, nodes } => {
+                if *scope == UpdateScope::Replace {
+                    self.listed.values_mut().for_each(|listed| *listed = Listed::Removed);
+                }
+                self.listed.extend(nodes.iter().map(|info| (info.node, info.listed)));
+            }
+            Input::Overdue(_) | Input::FleetUpdate(_) | Input::Timer(_) => {}
+        }
+    }
+
+    /// Judges an effect before it is carried out.
+    pub fn effect(&mut self, now: Nanos, effect: &Effect) -> Option<Violation> {
+        match effect {
+            Effect::Send { id, attempt, node, .. } => self.sent(now, *id, *attempt, *node),
+            Effect::Answer { id, answer } => self.answered(*id, answer),
+            Effect::Release(id) => {
+                self.requests.remove(id);
+                None
+            }
+            Effect::ForgetNode(node) => {
+                self.listed.remove(node);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn attempt_ended(&mut self, id: RequestId, attempt: u32, outcome: Outcome) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(sent_at) = request.in_flight.remove(&attempt) else { return };
+        if outcome.may_have_executed() {
+            request.executed_since.get_or_insert(sent_at);
+        }
+    }
+
+    fn sent(&mut self, now: Nanos, id: RequestId, attempt: u32, node: NodeId) -> Option<Violation> {
+        let is_up = self.listed.get(&node).is_none_or(|listed| *listed == Listed::Up);
+        let request = self.requests.get_mut(&id)?;
+        let repeat_allowed = request.executed_since.is_none_or(|since| match request.semantics {
+            Semantics::Idempotent => true,
+            Semantics::Deduplicated => now < since + request.window,
+            Semantics::AtMostOnce => false,
+        });
+        let rule = if request.ended {
+            Some(Rule::NothingAfterTheEnd)
+        } else if !is_up {
+            Some(Rule::CleanDrain)
+        } else if !request.in_flight.is_empty() {
+            Some(Rule::OneAttemptAtATime)
+        } else if !repeat_allowed {
+            Some(Rule::NoDoubleEffect)
+        } else {
+            None
+        };
+        request.in_flight.insert(attempt, now);
+        rule.map(|rule| Violation { rule, request: id })
+    }
+
+    fn answered(&mut self, id: RequestId, answer: &FinalAnswer) -> Option<Violation> {
+        let request = self.requests.get_mut(&id)?;
+        let may_have_executed = request.executed_since.is_some() || !request.in_flight.is_empty();
+        let is_harmless = match request.semantics {
+            Semantics::Idempotent => true,
+            Semantics::Deduplicated => !may_have_executed || request.group == Group::All,
+            Semantics::AtMostOnce => !may_have_executed,
+        };
+        let rule = if request.answered {
+            Some(Rule::OneAnswer)
+        } else if matches!(answer, FinalAnswer::Rejected(_)) && !is_harmless {
+            Some(Rule::HarmlessRejection)
+        } else {
+            None
+        };
+        request.answered = true;
+        request.ended = true;
+        rule.map(|rule| Violation { rule, request: id })
+    }
+}
--- /dev/null
+++ b/crates/core/tests/invariant_monitor.rs
@@ -0,0 +1,74 @@
+//! The monitor of the rules, fed with effects that break each of them.
+
+mod common;
+
+use common::*;
+use tulipbridge_core::invariant_monitor::{InvariantMonitor, Rule};
+use tulipbridge_core::request_tracker::{Effect, FinalAnswer, Input};
+use tulipbridge_core::*;
+
+/// Classes of the settings.
+const IDEMPOTENT: usize = 0;
+const AT_MOST_ONCE: usize = 2;
+const NODE: NodeId = 0;
+
+/// A monitor that has seen a server in service and the request 1 of a class.
+fn monitor(class: usize) -> InvariantMonitor {
+    let mut monitor = InvariantMonitor::default();
+    let nodes = vec![node(NODE, Listed::Up, 0)];
+    monitor.input(&Input::Endpoints { scope: UpdateScope::Replace, nodes }, &settings());
+    monitor.input(&Input::RequestReceived(request(1, class, Some(0))), &settings());
+    monitor
+}
+
+fn send(monitor: &mut InvariantMonitor, attempt: u32) -> Option<Rule> {
+    let effect = Effect::Send { id: 1, attempt, node: NODE, deadline: S, begin_by: Nanos::MAX };
+    monitor.effect(0, &effect).map(|violation| violation.rule)
+}
+
+fn answer(monitor: &mut InvariantMonitor, answer: FinalAnswer) -> Option<Rule> {
+    monitor.effect(0, &Effect::Answer { id: 1, answer }).map(|violation| violation.rule)
+}
+
+fn time_out(monitor: &mut InvariantMonitor, attempt: u32) {
+    monitor.input(&Input::AttemptTimedOut { id: 1, attempt }, &settings());
+}
+
+#[test]
+fn sequence_within_the_rules_is_no_violation() {
+    let mut monitor = monitor(IDEMPOTENT);
+    assert_eq!(send(&mut monitor, 0), None);
+    time_out(&mut monitor, 0);
+    assert_eq!(send(&mut monitor, 1), None);
+    assert_eq!(answer(&mut monitor, FinalAnswer::Rejected(0)), None);
+}
+
+#[test]
+fn each_broken_rule_is_found() {
+    let mut second_answer = monitor(IDEMPOTENT);
+    answer(&mut second_answer, FinalAnswer::Failed);
+    assert_eq!(answer(&mut second_answer, FinalAnswer::Failed), Some(Rule::OneAnswer));
+    assert_eq!(send(&mut second_answer, 0), Some(Rule::NothingAfterTheEnd));
+
+    let mut client_gone = monitor(IDEMPOTENT);
+    client_gone.input(&Input::ClientGone(1), &settings());
+    assert_eq!(send(&mut client_gone, 0), Some(Rule::NothingAfterTheEnd));
+
+    let mut draining = monitor(IDEMPOTENT);
+    let nodes = vec![node(NODE, Listed::Draining, 0)];
+    draining.input(&Input::Endpoints { scope: UpdateScope::Update, nodes }, &settings());
+    assert_eq!(send(&mut draining, 0), Some(Rule::CleanDrain));
+
+    let mut two_attempts = monitor(IDEMPOTENT);
+    send(&mut two_attempts, 0);
+    assert_eq!(send(&mut two_attempts, 1), Some(Rule::OneAttemptAtATime));
+
+    let mut repeated_write = monitor(AT_MOST_ONCE);
+    send(&mut repeated_write, 0);
+    time_out(&mut repeated_write, 0);
+    assert_eq!(send(&mut repeated_write, 1), Some(Rule::NoDoubleEffect));
+
+    let mut rejected_write = monitor(AT_MOST_ONCE);
+    send(&mut rejected_write, 0);
+    assert_eq!(answer(&mut rejected_write, FinalAnswer::Rejected(0)), Some(Rule::HarmlessRejection));
+}
--- a/src/exchange/clock.rs
+++ b/src/exchange/clock.rs
@@ -6,7 +6,7 @@
 
 /// Unix time in nanoseconds, read once when the clock starts and monotonic from there: a step of the system clock
 /// reorders no events.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub struct Clock {
     started: Instant,
     unix_start: Nanos,
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -14,11 +14,12 @@
 
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep, timeout, timeout_at};
+use tulipbridge_core::invariant_monitor::{InvariantMonitor, Violation};
 use tulipbridge_core::request_tracker::{Effect, FinalAnswer, Input, RequestTracker};
 use tulipbridge_core::stall_detector::StallDetector;
 use tulipbridge_core::*;
 
-use self::withdrawal::OrderSender;
+use self::withdrawal::{BeginLimits, OrderSender};
 use crate::telemetry::log::log;
 use crate::telemetry::trace;
 
@@ -68,6 +69,9 @@
     pub avoided: usize,
 }
 
+/// Is told of each violation of a rule. Must not call the exchange.
+pub type ViolationObserver = Box<dyn Fn(Violation)>;
+
 /// The state that the fronts of a fleet share: limits and ejections.
 pub trait FleetState {
     /// The updates that the decision module must have before `input`: leases may have expired meanwhile.
@@ -89,6 +93,10 @@
     clock: Clock,
     /// When this process was held up, told by the events that are fed.
     stalls: Cell<StallDetector>,
+    /// Judges the effects by the rules alone.
+    monitor: RefCell<InvariantMonitor>,
+    /// Told of each violation.
+    on_violation: RefCell<Option<ViolationObserver>>,
     endpoints_requested: Notify,
     fleet_state: RefCell<Option<Rc<dyn FleetState>>>,
 }
@@ -106,6 +114,8 @@
             transport,
             clock,
             stalls: Cell::default(),
+            monitor: RefCell::default(),
+            on_violation: RefCell::default(),
             endpoints_requested: Notify::new(),
             fleet_state: RefCell::default(),
         }))
@@ -254,8 +264,10 @@
         }
         let now = self.clock.now();
         self.note_event(now);
+        self.with_settings(|settings| self.monitor.borrow_mut().input(&input, settings));
         self.core.borrow_mut().tracker.on(now, input, &mut effects);
         for effect in effects {
+            self.check(now, &effect);
             if trace::is_enabled() {
                 trace::effect(&effect, |node| self.transport.name(node));
             }
@@ -286,6 +298,21 @@
         }
     }
 
+    /// Has an observer told of each violation of a rule from now on.
+    pub fn set_violation_observer(&self, observer: ViolationObserver) {
+        *self.on_violation.borrow_mut() = Some(observer);
+    }
+
+    /// Logs and reports an effect that breaks a rule. It is carried out all the same: what the decisions have recorded
+    /// must stay what happens.
+    fn check(&self, now: Nanos, effect: &Effect) {
+        let Some(violation) = self.monitor.borrow_mut().effect(now, effect) else { return };
+        log!("rule {} broken by request {}: {effect:?}", violation.rule.name(), violation.request);
+        if let Some(observer) = &*self.on_violation.borrow() {
+            observer(violation);
+        }
+    }
+
     /// Records that an event is handled now.
     fn note_event(&self, now: Nanos) {
         let mut stalls = self.stalls.get();
@@ -319,14 +346,15 @@
 
     /// Starts an attempt. It ends by itself, at its deadline, or when it is cancelled, whichever is first.
     fn send(self: &Rc<Self>, key: AttemptKey, node: NodeId, deadline: Nanos, begin_by: Nanos) {
+        let begin_by = (begin_by < Nanos::MAX).then_some(begin_by);
+        let limits = BeginLimits { clock: self.clock, begin_by, deadline };
         let deadline = self.clock.instant(deadline);
-        let begin_by = (begin_by < Nanos::MAX).then(|| self.clock.instant(begin_by));
         let core = self.core.borrow();
         let Some(pending) = core.pending.get(&key.request) else { return };
         if let Some(fleet_state) = &*self.fleet_state.borrow() {
             fleet_state.attempt_sent(key, node, pending.class);
         }
-        let withdrawal = pending.orders.withdrawal(key.attempt, begin_by);
+        let withdrawal = pending.orders.withdrawal(key.attempt, limits);
         let payload = Rc::clone(&pending.payload);
         let attempt = self.transport.attempt(node, payload, deadline, withdrawal.clone());
         let exchange = Rc::clone(self);
--- a/src/exchange/withdrawal.rs
+++ b/src/exchange/withdrawal.rs
@@ -4,7 +4,10 @@
 use std::time::Instant;
 
 use tokio::sync::watch;
-use tulipbridge_core::Outcome;
+use tulipbridge_core::send_permission::{may_begin, SendQuestion, SendRefusal};
+use tulipbridge_core::{Nanos, Outcome};
+
+use super::clock::Clock;
 
 /// An order to an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,45 +48,73 @@
         self.0.send_replace(Some(NumberedOrder { attempt, order }));
     }
 
-    /// The receiving end for an attempt, which must start to write before `begin_by`, if any.
-    pub fn withdrawal(&self, attempt: u32, begin_by: Option<Instant>) -> Withdrawal {
-        Withdrawal { attempt, begin_by, orders: self.0.subscribe() }
+    /// The receiving end for an attempt, which must start to write before `begin_by`, if any, and its deadline.
+    pub fn withdrawal(&self, attempt: u32, limits: BeginLimits) -> Withdrawal {
+        Withdrawal { attempt, limits, orders: self.0.subscribe() }
     }
 }
 
+/// Until when an attempt may start to write, in the clock of the decision module.
+#[derive(Clone, Copy, Debug)]
+pub struct BeginLimits {
+    /// The clock.
+    pub clock: Clock,
+    /// Until when it may repeat another attempt.
+    pub begin_by: Option<Nanos>,
+    /// When its client gives up.
+    pub deadline: Nanos,
+}
+
 /// The receiving end of the orders to one attempt.
 #[derive(Clone, Debug)]
 pub struct Withdrawal {
     attempt: u32,
     /// An attempt that has not started to write by then is withdrawn.
-    begin_by: Option<Instant>,
+    limits: BeginLimits,
     orders: watch::Receiver<Option<NumberedOrder>>,
 }
 
 impl Withdrawal {
     /// A withdrawal that never happens.
     pub fn never() -> Withdrawal {
-        OrderSender::new().withdrawal(0, None)
+        let limits = BeginLimits { clock: Clock::start(), begin_by: None, deadline: Nanos::MAX };
+        OrderSender::new().withdrawal(0, limits)
     }
 
-    /// The outcome that the attempt ends with, where it has been withdrawn.
-    pub fn outcome(&self) -> Option<Outcome> {
+    /// Whether the attempt may write its first byte now, on a connection on which `unread_bytes` wait or not.
+    ///
+    /// # Errors
+    /// Why it may not.
+    pub fn may_begin(&self, unread_bytes: bool) -> Result<(), SendRefusal> {
         let latest = *self.orders.borrow();
-        match latest.filter(|latest| latest.attempt == self.attempt).map(|latest| latest.order) {
-            Some(AttemptOrder::Withdraw(outcome)) => Some(outcome),
+        let order = latest.filter(|latest| latest.attempt == self.attempt).map(|latest| latest.order);
+        let withdrawn = order.map(|order| match order {
+            AttemptOrder::Withdraw(outcome) => outcome,
             // An attempt that is about to be dropped must not start to write.
-            Some(AttemptOrder::Cancel) => Some(Outcome::Cancelled),
-            None => self.begin_by.filter(|begin_by| Instant::now() >= *begin_by).map(|_| Outcome::NotSent),
-        }
+            AttemptOrder::Cancel => Outcome::Cancelled,
+        });
+        may_begin(&SendQuestion {
+            now: self.limits.clock.now(),
+            withdrawn,
+            begin_by: self.limits.begin_by,
+            deadline: self.limits.deadline,
+            unread_bytes,
+        })
+    }
+
+    /// The outcome that the attempt ends with, where it may not start to write any more.
+    pub fn outcome(&self) -> Option<Outcome> {
+        self.may_begin(false).err().map(SendRefusal::outcome)
     }
 
     /// Returns when the attempt is withdrawn, with the outcome that it ends with.
     pub async fn withdrawn(&mut self) -> Outcome {
+        let begin_by = self.limits.begin_by.map(|begin_by| self.limits.clock.instant(begin_by));
         loop {
             if let Some(outcome) = self.outcome() {
                 return outcome;
             }
-            let too_late = sleep_until(self.begin_by);
+            let too_late = sleep_until(begin_by);
             tokio::select! {
                 changed = self.orders.changed() => if changed.is_err() {
                     // The request is over and there will be no order.
--- a/src/front/assembly.rs
+++ b/src/front/assembly.rs
@@ -11,6 +11,7 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tulipbridge_core::discovery_watch::FIRST_CALL_SPREAD;
+use tulipbridge_core::invariant_monitor::Violation;
 use tulipbridge_core::{Nanos, Settings};
 
 use crate::body_budget::BodyBudget;
@@ -96,6 +97,10 @@
     let upstream = Upstream::new(config.dial_timeout, config.idle_close, limits.servers);
     let exchange = Exchange::new(config.settings.clone(), config.seed, upstream)?;
     let metrics = Rc::new(Metrics::new());
+    let counters = Rc::clone(&metrics);
+    exchange.set_violation_observer(Box::new(move |violation: Violation| {
+        counters.count_violation(violation.rule)
+    }));
     // Before the first endpoint list, since the peers follow every list.
     let peers = join_peers(config, &exchange, &metrics)?;
     let maintenance = Maintenance::new(state_folder(), &config.name, Rc::clone(&exchange));
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -4,6 +4,8 @@
 use prometheus::core::Collector;
 use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 
+use tulipbridge_core::invariant_monitor::Rule;
+
 const VALID_NAME: &str = "the name is valid";
 const UNIQUE_NAME: &str = "the name is registered once";
 
@@ -47,6 +49,7 @@
     active_requests: IntGauge,
     cluster_size: IntGauge,
     cluster_unhealthy: IntGauge,
+    violations: IntCounterVec,
     /// Configuration files that were loaded at SIGHUP.
     pub conf_loaded: IntCounter,
     /// Configuration files that were rejected at SIGHUP.
@@ -79,7 +82,13 @@
         let transactions =
             Opts::new("app_transactions", "Requests by class and how they ended; attempts written whole");
         let transactions = IntCounterVec::new(transactions, &["group", "state"]).expect(VALID_NAME);
+        let violations = Opts::new("app_invariant_violations", "Rules broken by this process's decisions");
+        let violations = IntCounterVec::new(violations, &["rule"]).expect(VALID_NAME);
+        for rule in Rule::ALL {
+            violations.with_label_values(&[rule.name()]);
+        }
         Metrics {
+            violations: registered(&registry, violations),
             transactions: registered(&registry, transactions),
             sends: counter(&registry, "app_sends", "Attempts written whole to chunk servers"),
             active_requests: gauge(&registry, "app_current", "Requests taken and not yet ended"),
@@ -95,6 +104,11 @@
         }
     }
 
+    /// Counts a violation of a rule.
+    pub fn count_violation(&self, rule: Rule) {
+        self.violations.with_label_values(&[rule.name()]).inc();
+    }
+
     /// Registers a metric of a part that not every front has.
     ///
     /// # Panics
--- a/src/upstream/wire_state.rs
+++ b/src/upstream/wire_state.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 use tokio::task::yield_now;
 use tokio::time::sleep;
+use tulipbridge_core::send_permission::SendRefusal;
 use tulipbridge_core::server_connection::{ConnectionEvent, Execution, ServerConnection};
 
 use crate::exchange::Withdrawal;
@@ -111,7 +112,8 @@
         let mut connection = self.connection.get();
         let unread_bytes = has_unread_bytes(socket);
         let withdrawal = self.withdrawal.borrow();
-        let withdrawn = withdrawal.as_ref().is_some_and(|withdrawal| withdrawal.outcome().is_some());
+        let refusal = withdrawal.as_ref().and_then(|withdrawal| withdrawal.may_begin(unread_bytes).err());
+        let withdrawn = refusal.is_some_and(|refusal| refusal != SendRefusal::UnreadBytes);
         let may_write = connection.may_write(unread_bytes, withdrawn);
         self.connection.set(connection);
         may_write
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -149,6 +149,23 @@
         send c2 raw PUT /api HTTP/1.1\\r\\nHost: t\\r\\nContent-Length: 8\\r\\nX-Txn: 00000000000000a2\\r\\n\\r\\n
         within 3000 expect c2";
 
+    write_is_not_sent_when_its_client_disconnects_while_the_front_is_held_up: Platform, 1, "
+        settings \"DialTimeout\": 250000000 => \"DialTimeout\": 3000000000
+        full s0
+        send c1 PUT /api X-Lane:form-submit X-Remaining:9000m | never
+        wait 100
+        signal STOP
+        free s0
+        wait 1500
+        close c1
+        wait 200
+        signal CONT
+        wait 100
+        send c2 PUT /api X-Lane:form-submit | wanted
+        expect s0
+        send s0 200 | stored
+        expect c2";
+
     // Clients that disconnect.
 
     write_is_not_sent_when_its_client_disconnects_during_the_dial: Platform, 2, "
