--- a/crates/testbed/src/cli/arguments.rs
+++ b/crates/testbed/src/cli/arguments.rs
@@ -33,7 +33,7 @@
     List,
     /// Runs an experiment with real processes.
     #[command(
-        about = "Runs processes of the program: `cases` (loads, before and with peers), `hard` (each fault by name), `others` (limits that are no volume's), `sick` (a server that is bad), `verdicts` (schedules with bad servers) or `faults` (schedules from seeds)"
+        about = "Runs processes of the program: `cases` (loads, before and with peers), `hard` (each fault by name), `others` (limits that are no volume's), `sick` (a server that is bad), `verdicts` (schedules with bad servers), `soak` and `calm` (platform fronts under troubles that overlap, or none) or `faults` (schedules from seeds)"
     )]
     Run(RunArguments),
     /// Starts a testbed and keeps it until interrupted.
--- a/crates/testbed/src/cli/run.rs
+++ b/crates/testbed/src/cli/run.rs
@@ -3,6 +3,7 @@
 mod limits;
 mod outliers;
 mod shared_limits;
+mod soak;
 
 use super::arguments::RunArguments;
 use super::error::CliError;
@@ -19,6 +20,8 @@
         "others" => shared_limits::run(arguments),
         "sick" => outliers::run_server_faults(arguments),
         "verdicts" => outliers::run_schedules(arguments),
+        "soak" => soak::run(arguments, false),
+        "calm" => soak::run(arguments, true),
         other => Err(CliError::UnknownName(other.to_owned())),
     }
 }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod schedule;
 pub mod shared_limit_experiments;
 pub mod simulation;
+pub mod soak;
 pub mod tcp_proxy;
 pub mod testbed;
