--- a/crates/core/src/startup_readiness.rs
+++ b/crates/core/src/startup_readiness.rs
@@ -15,16 +15,18 @@
 pub const UNREACHABLE_WITHIN: Nanos = 500 * MILLISECOND;
 /// A watch that has opened and tells nothing for this long has nothing to tell: the list is that of discovery.
 pub const CONFIRMED_BY_SILENCE_AFTER: Nanos = 250 * MILLISECOND;
-/// The longest time until a front is ready.
+/// The longest time until a front is ready, where discovery is one service for all fronts.
 pub const READY_WITHIN: Nanos = 5_000 * MILLISECOND;
+/// The same where lists are pushed: the agent on the front's own machine answers at once, or has nothing to tell.
+pub const READY_WITHIN_OF_AGENT: Nanos = 500 * MILLISECOND;
 
 /// Whether a starting front is ready.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartupReadiness {
     /// Discovery has not confirmed the list yet.
     Unconfirmed {
-        /// When the front started.
-        since: Nanos,
+        /// By when it is ready all the same.
+        ready_by: Nanos,
         /// When a watch opened, if one has.
         opened_at: Option<Nanos>,
     },
@@ -33,9 +35,10 @@
 }
 
 impl StartupReadiness {
-    /// A front that starts now.
-    pub fn new(now: Nanos) -> StartupReadiness {
-        StartupReadiness::Unconfirmed { since: now, opened_at: None }
+    /// A front that starts now. `polls_discovery` says that it shares discovery with other fronts.
+    pub fn new(now: Nanos, polls_discovery: bool) -> StartupReadiness {
+        let limit = if polls_discovery { READY_WITHIN } else { READY_WITHIN_OF_AGENT };
+        StartupReadiness::Unconfirmed { ready_by: now + limit, opened_at: None }
     }
 
     /// A watch has opened; its first message may be on its way.
@@ -57,13 +60,18 @@
         }
     }
 
+    /// A call to discovery was given up, for it had no answer: whoever waits in a crowd is turned away before.
+    pub fn call_unanswered(&mut self) {
+        *self = StartupReadiness::Ready;
+    }
+
     /// Whether the front is ready now.
     pub fn is_ready(&self, now: Nanos) -> bool {
         match self {
-            StartupReadiness::Unconfirmed { since, opened_at } => {
+            StartupReadiness::Unconfirmed { ready_by, opened_at } => {
                 let is_quiet =
                     opened_at.is_some_and(|opened_at| now - opened_at >= CONFIRMED_BY_SILENCE_AFTER);
-                is_quiet || now - since >= READY_WITHIN
+                is_quiet || now >= *ready_by
             }
             StartupReadiness::Ready => true,
         }
--- a/crates/testbed/src/soak/run.rs
+++ b/crates/testbed/src/soak/run.rs
@@ -32,6 +32,8 @@
 /// How long a restarted server is gone, and how much later discovery has its start.
 const SERVER_GONE: Duration = Duration::from_millis(1_200);
 const LIST_DELAY: Duration = Duration::from_millis(300);
+/// How long a broken file lies there.
+const BROKEN_FILE_TIME: Duration = Duration::from_millis(200);
 const BRIEF_PAUSE: Duration = Duration::from_millis(150);
 const LONG_PAUSE: Duration = Duration::from_millis(800);
 /// What a cold server bears, by the settings of the soak.
@@ -268,7 +270,8 @@
             Trouble::FrontPausedLong => front.pause(LONG_PAUSE).await,
             Trouble::BrokenReload => {
                 front.reload("\"MostTries\": 3", "\"MostTries\": \"three\"");
-                sleep(length).await;
+                // A front that starts on a broken file refuses to, as its pages say.
+                sleep(BROKEN_FILE_TIME).await;
                 front.reload("\"MostTries\": \"three\"", "\"MostTries\": 3");
             }
             _ => {
--- /dev/null
+++ b/crates/testbed/tests/soak_judge.rs
@@ -0,0 +1,137 @@
+//! The judge of soaks: a recording within the rules, and one with a fault against each.
+
+use std::time::Duration;
+
+use tulipbridge_testbed::soak::judge::{judge, ColdStart, Rule};
+use tulipbridge_testbed::soak::recording::{
+    Arrival, Class, ClientRequest, End, HalfRequest, ListChange, ProcessLife, Recording,
+};
+use tulipbridge_testbed::soak::trouble::{draw, Trouble};
+
+const COLD_START: ColdStart = ColdStart {
+    capacity: 10.0,
+    floor: 0.2,
+    duration: Duration::from_secs(10),
+    multiple: 2.0,
+    span: Duration::from_secs(2),
+};
+const OK: End = End::Answered { status: 200, body_matches: true };
+
+fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+fn process() -> ProcessLife {
+    ProcessLife {
+        front: 0,
+        started_at: ms(0),
+        ready_at: Some(ms(100)),
+        terminated_at: Some(ms(20_000)),
+        killed_at: None,
+        ended_at: Some(ms(21_000)),
+        exit_code: Some(0),
+        pauses: Vec::new(),
+        violations: 0,
+    }
+}
+
+/// A request that was sent at 10 s, and its attempts.
+fn recording(class: Class, end: End, arrivals: &[Arrival]) -> Recording {
+    let (sent_at, patience, ended_at) = (ms(10_000), ms(1_000), ms(10_100));
+    let request = ClientRequest { transaction: 1, front: 0, class, sent_at, patience, ended_at, end };
+    Recording {
+        requests: vec![request],
+        arrivals: arrivals.to_vec(),
+        processes: vec![process()],
+        ..Recording::default()
+    }
+}
+
+fn arrival(at: u64, told: u64) -> Arrival {
+    Arrival {
+        server: 0,
+        transaction: 1,
+        first_byte_at: ms(at),
+        at: ms(at),
+        told: ms(told),
+        turned_away: false,
+    }
+}
+
+fn rules(recording: &Recording) -> Vec<Rule> {
+    judge(recording, COLD_START).into_iter().map(|find| find.rule).collect()
+}
+
+#[test]
+fn recording_within_the_rules_has_no_finds() {
+    assert_eq!(rules(&recording(Class::Write, OK, &[arrival(10_010, 980)])), []);
+}
+
+#[test]
+fn each_broken_rule_of_a_request_is_found() {
+    let one = [arrival(10_010, 980)];
+    let two = [arrival(10_010, 980), arrival(10_050, 940)];
+    let refused = End::Answered { status: 503, body_matches: false };
+    let wrong = End::Answered { status: 200, body_matches: false };
+    assert_eq!(rules(&recording(Class::Read, End::Closed, &[])), [Rule::Lost]);
+    assert_eq!(rules(&recording(Class::Read, End::Silent, &one)), [Rule::Lost]);
+    assert_eq!(rules(&recording(Class::Read, wrong, &one)), [Rule::WrongAnswer]);
+    assert_eq!(rules(&recording(Class::Write, OK, &two)), [Rule::Duplicate]);
+    assert_eq!(rules(&recording(Class::Write, refused, &one)), [Rule::RefusedAndRun]);
+    assert_eq!(rules(&recording(Class::Read, End::Left, &[arrival(10_400, 500)])), [Rule::AfterClientLeft]);
+    assert_eq!(rules(&recording(Class::Read, OK, &[arrival(10_090, 1_200)])), [Rule::ToldTooMuch]);
+}
+
+#[test]
+fn request_to_a_draining_server_is_found_once_its_front_was_told() {
+    let change = |at: u64, told: Option<u64>| ListChange {
+        server: 0,
+        is_ready: false,
+        at: ms(at),
+        told_at: vec![told.map(ms)],
+    };
+    let mut told = recording(Class::Read, OK, &[arrival(10_010, 980)]);
+    told.changes = vec![change(9_000, Some(9_100))];
+    assert_eq!(rules(&told), [Rule::Drain]);
+    told.changes = vec![change(9_000, None)];
+    assert_eq!(rules(&told), [], "it counts as told after six seconds");
+    told.changes = vec![change(3_000, None)];
+    assert_eq!(rules(&told), [Rule::Drain]);
+    // A process that started later counts as told from its first moment.
+    told.processes[0].started_at = ms(9_800);
+    assert_eq!(rules(&told), []);
+}
+
+#[test]
+fn faults_of_processes_half_requests_and_cold_servers_are_found() {
+    let mut calm = recording(Class::Read, OK, &[arrival(10_010, 980)]);
+    calm.half_requests = vec![HalfRequest { front: 0, sent_at: ms(5_000), ended_at: Some(ms(8_400)) }];
+    assert_eq!(rules(&calm), [Rule::HalfRequest]);
+    calm.half_requests.clear();
+    calm.processes[0].exit_code = None;
+    assert_eq!(rules(&calm), [Rule::Crash]);
+    calm.processes[0] = ProcessLife { ended_at: Some(ms(24_500)), violations: 1, ..process() };
+    assert_eq!(rules(&calm), [Rule::LateExit, Rule::Counted]);
+    calm.processes[0] = ProcessLife { ready_at: None, ..process() };
+    assert_eq!(rules(&calm), [Rule::LateReady]);
+    calm.processes[0] = process();
+    // It bears 8 requests in two seconds at first, and 19 with the allowance.
+    calm.starts = vec![(0, ms(12_000))];
+    calm.arrivals.extend((0..22).map(|n| Arrival { transaction: 100 + n, ..arrival(12_000 + n, 1) }));
+    assert_eq!(rules(&calm), [Rule::ColdServer]);
+}
+
+#[test]
+fn seed_draws_the_same_troubles_each_time_and_they_overlap() {
+    let mut drawn: Vec<Trouble> = Vec::new();
+    for seed in 0..200 {
+        let troubles = draw(seed);
+        let again: Vec<Trouble> = draw(seed).iter().map(|entry| entry.trouble).collect();
+        assert_eq!(again, troubles.iter().map(|entry| entry.trouble).collect::<Vec<_>>());
+        assert!((2..=3).contains(&troubles.len()));
+        let latest_start = troubles.iter().map(|entry| entry.from).max();
+        assert!(troubles.iter().all(|entry| Some(entry.until) >= latest_start), "seed {seed}");
+        drawn.extend(again);
+    }
+    assert!(Trouble::ALL.iter().all(|trouble| drawn.contains(trouble)));
+}
--- a/src/control/discovery.rs
+++ b/src/control/discovery.rs
@@ -43,6 +43,13 @@
     EndpointList(#[from] EndpointListError),
 }
 
+impl DiscoveryError {
+    /// Whether nothing came from discovery at all.
+    fn is_silence(&self) -> bool {
+        matches!(self, DiscoveryError::Http(HttpError::ConnectTimeout | HttpError::ResponseTimeout))
+    }
+}
+
 /// How far a front has followed discovery.
 pub struct Discovery {
     /// The longest time until the first call, in nanoseconds.
@@ -224,7 +231,11 @@
                     }
                     Err(error) => {
                         log!("discovery: {error}");
-                        self.discovery.readiness.call_failed(self.called_at.elapsed());
+                        if error.is_silence() {
+                            self.discovery.readiness.call_unanswered();
+                        } else {
+                            self.discovery.readiness.call_failed(self.called_at.elapsed());
+                        }
                         WatchEvent::Failed
                     }
                 }
@@ -238,6 +249,7 @@
             WatchStep::Call => self.call(address),
             WatchStep::CancelCall => {
                 log!("discovery: call cancelled: no response in time");
+                self.discovery.readiness.call_unanswered();
                 self.opening = None;
             }
             WatchStep::Adopt => self.watch = opened.take(),
--- a/src/control/readiness.rs
+++ b/src/control/readiness.rs
@@ -14,14 +14,13 @@
     state: Rc<Cell<StartupReadiness>>,
 }
 
-impl Default for Readiness {
-    /// A front that starts now.
-    fn default() -> Readiness {
-        Readiness { started: Instant::now(), state: Rc::new(Cell::new(StartupReadiness::new(0))) }
+impl Readiness {
+    /// A front that starts now; see [`StartupReadiness::new`].
+    pub fn new(polls_discovery: bool) -> Readiness {
+        let state = StartupReadiness::new(0, polls_discovery);
+        Readiness { started: Instant::now(), state: Rc::new(Cell::new(state)) }
     }
-}
 
-impl Readiness {
     /// A watch on discovery has opened.
     pub fn watch_opened(&self) {
         let now = self.now();
@@ -38,6 +37,11 @@
         self.update(|state| state.call_failed(took.as_nanos() as Nanos));
     }
 
+    /// A call to discovery was given up without an answer.
+    pub fn call_unanswered(&self) {
+        self.update(StartupReadiness::call_unanswered);
+    }
+
     /// Whether the front is ready now.
     pub fn is_ready(&self) -> bool {
         self.state.get().is_ready(self.now())
--- a/src/front/assembly.rs
+++ b/src/front/assembly.rs
@@ -104,7 +104,7 @@
     // Before the first endpoint list, since the peers follow every list.
     let peers = join_peers(config, &exchange, &metrics)?;
     let maintenance = Maintenance::new(state_folder(), &config.name, Rc::clone(&exchange));
-    let readiness = Readiness::default();
+    let readiness = Readiness::new(config.settings.polls_discovery);
     start_discovery(config, discovery_address, &exchange, &maintenance, readiness.clone())?;
     spawn_local(Rc::clone(&maintenance).follow());
     spawn_local(sweep(Rc::clone(&exchange)));
