--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -3,6 +3,7 @@
 //! carries attempts. The [`RequestTracker`], with the decision module in it, decides; the exchange carries its effects
 //! out.
 
+mod attempt_run;
 mod clock;
 mod transport;
 mod withdrawal;
@@ -10,19 +11,21 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tokio::sync::{oneshot, Notify};
-use tokio::time::{sleep, timeout, timeout_at};
+use tokio::time::{sleep, timeout};
 use tulipbridge_core::invariant_monitor::{InvariantMonitor, Violation};
 use tulipbridge_core::request_tracker::{Effect, FinalAnswer, Input, RequestTracker};
 use tulipbridge_core::stall_detector::StallDetector;
 use tulipbridge_core::*;
 
+use self::attempt_run::run_attempt;
 use self::withdrawal::{BeginLimits, OrderSender};
 use crate::telemetry::log::log;
 use crate::telemetry::trace;
 
+pub use self::attempt_run::AttemptKey;
 pub use self::clock::Clock;
 pub use self::transport::{AttemptReport, Transport};
 pub use self::withdrawal::Withdrawal;
@@ -51,15 +54,6 @@
     orders: OrderSender,
 }
 
-/// Identifies an attempt of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AttemptKey {
-    /// The request.
-    pub request: RequestId,
-    /// The attempt's number within the request.
-    pub attempt: u32,
-}
-
 /// How many chunk servers the decision module has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndpointCounts {
@@ -365,25 +359,6 @@
     }
 }
 
-/// Runs an attempt to its end. Returns the input for the tracker and the answer, if any.
-async fn run_attempt<A>(
-    AttemptKey { request: id, attempt }: AttemptKey,
-    running: impl std::future::Future<Output = AttemptReport<A>>,
-    deadline: Instant,
-    mut withdrawal: Withdrawal,
-) -> (Input, Option<A>) {
-    tokio::select! {
-        biased;
-        ended = timeout_at(deadline.into(), running) => match ended {
-            Ok(AttemptReport { outcome, answer, observed_use, foreign_units }) => {
-                (Input::AttemptEnded { id, attempt, outcome, observed_use, foreign_units }, answer)
-            }
-            Err(_) => (Input::AttemptTimedOut { id, attempt }, None),
-        },
-        () = withdrawal.cancelled() => (Input::AttemptCancelled { id, attempt }, None),
-    }
-}
-
 fn final_response<A>(answer: FinalAnswer, served: Option<A>) -> FinalResponse<A> {
     match (answer, served) {
         (FinalAnswer::Served, Some(served)) => FinalResponse::Served(served),
