Hold the checker to 3 s for later requests too, and name the soak in the field's terms

Change: one bound of 3 s for first and later requests in the model; it is stricter. Troubles of the soak are called faults, its judge the checker.

--- a/crates/model-checker/src/client_connection_model/mod.rs
+++ b/crates/model-checker/src/client_connection_model/mod.rs
@@ -28,10 +28,8 @@
 const CLOCK_STEPS: [Nanos; 4] = [20 * MS, 220 * MS, 700 * MS, 3_000 * MS];
 /// How late the front may act: the longest clock step.
 const MAX_DELAY: Nanos = 3_000 * MS;
-/// From connecting until the first request must be complete.
-const FIRST_REQUEST_TIMEOUT: Nanos = 3_000 * MS;
-/// From the first byte of a later request until it must be complete.
-const REQUEST_TIMEOUT: Nanos = 6_000 * MS;
+/// From connecting until the first request must be complete, and from the first byte of a later one.
+const REQUEST_TIMEOUT: Nanos = 3_000 * MS;
 /// The longest deadline of a request.
 const LONGEST_DEADLINE: Nanos = 3_000 * MS;
 /// The front exits within this after SIGTERM.
--- a/crates/model-checker/src/client_connection_model/transitions.rs
+++ b/crates/model-checker/src/client_connection_model/transitions.rs
@@ -6,8 +6,7 @@
 
 use super::state::{ClientState, ConnectionId, FrontState, RequestProgress, Shutdown, Socket};
 use super::{
-    ClientConnectionModel, State, Step, CLOCK_STEPS, FIRST_REQUEST_TIMEOUT, LONGEST_DEADLINE, MAX_EXIT_TIME,
-    REQUEST_TIMEOUT,
+    ClientConnectionModel, State, Step, CLOCK_STEPS, LONGEST_DEADLINE, MAX_EXIT_TIME, REQUEST_TIMEOUT,
 };
 
 impl State {
@@ -228,8 +227,7 @@
             let is_first = socket.answered == 0;
             let is_idle = !is_first && socket.sent == RequestProgress::Nothing;
             let is_complete = socket.sent == RequestProgress::Complete || is_idle;
-            let timeout = if is_first { FIRST_REQUEST_TIMEOUT } else { REQUEST_TIMEOUT };
-            let has_timed_out = self.now >= socket.since + timeout;
+            let has_timed_out = self.now >= socket.since + REQUEST_TIMEOUT;
             self.violations.request_timeout_missed |= !is_complete && has_timed_out;
         }
     }
--- a/crates/testbed/src/cli/run/soak.rs
+++ b/crates/testbed/src/cli/run/soak.rs
@@ -11,7 +11,7 @@
 const FRONTS: usize = 3;
 const SERVERS: usize = 5;
 
-/// Runs a soak for every seed, with its troubles or `calm`, and prints the seeds that found something.
+/// Runs a soak for every seed, with its faults or `calm`, and prints the seeds that found something.
 pub fn run(arguments: &RunArguments, calm: bool) -> Result<Outcome, CliError> {
     let program = &arguments.program;
     let setup = |seed| SoakSetup { program: program.clone(), seed, calm, fronts: FRONTS, servers: SERVERS };
--- a/crates/testbed/src/soak/judge.rs
+++ b/crates/testbed/src/soak/checker.rs
@@ -1,22 +1,22 @@
-//! The judge of a soak: it holds a recording against the rules. It knows nothing of how a front works.
+//! The checker of a soak: it holds a recording against the rules. It knows nothing of how a front works.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::Serialize;
 
-use super::recording::{Arrival, Class, ClientRequest, End, ProcessLife, Recording};
+use super::recording::{Arrival, Class, ClientRequest, End, ProcessRecord, Recording};
 
 /// How late an answer may be before it is lost.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 /// How long after a client has left nothing may begin any more.
 const LEFT_SLACK: Duration = Duration::from_millis(100);
 /// By how much the told time may exceed what the client has left.
-const TOLD_SLACK: Duration = Duration::from_millis(150);
+const DEADLINE_SLACK: Duration = Duration::from_millis(150);
 /// Until when requests to a draining server must end, after it was told.
 const DRAIN_GRACE: Duration = Duration::from_millis(550);
 /// When a change counts as told, after discovery had it and could be reached.
-const TOLD_AFTER: Duration = Duration::from_secs(6);
+const NOTIFIED_AFTER: Duration = Duration::from_secs(6);
 /// When clients that stop in the middle get their error.
 const HALF_REQUEST_LIMIT: Duration = Duration::from_secs(3);
 /// What this machine may add to any of these times while many processes run on it.
@@ -44,7 +44,7 @@
     /// An attempt began after its client had left.
     AfterClientLeft,
     /// A server was told more time than the client had left.
-    ToldTooMuch,
+    DeadlineTooLong,
     /// Half a request had no end.
     HalfRequest,
     /// A process ended by itself, or with an error.
@@ -84,18 +84,18 @@
 }
 
 /// Holds a recording against all rules.
-pub fn judge(recording: &Recording, cold_start: ColdStart) -> Vec<Find> {
+pub fn check(recording: &Recording, cold_start: ColdStart) -> Vec<Find> {
     let mut finds = Vec::new();
     let by_transaction = arrivals_by_transaction(recording);
     for request in &recording.requests {
         let arrivals = by_transaction.get(&request.transaction).map_or(&[][..], Vec::as_slice);
-        judge_end(recording, request, &mut finds);
-        judge_attempts(recording, request, arrivals, &mut finds);
-        judge_drains(recording, request, arrivals, &mut finds);
+        check_end(recording, request, &mut finds);
+        check_attempts(recording, request, arrivals, &mut finds);
+        check_drains(recording, request, arrivals, &mut finds);
     }
-    judge_half_requests(recording, &mut finds);
-    recording.processes.iter().for_each(|process| judge_process(process, &mut finds));
-    judge_cold_servers(recording, cold_start, &mut finds);
+    check_half_requests(recording, &mut finds);
+    recording.processes.iter().for_each(|process| check_process(process, &mut finds));
+    check_cold_servers(recording, cold_start, &mut finds);
     finds
 }
 
@@ -116,13 +116,13 @@
 
 /// Whether a front was killed, or was not there, around a time.
 fn was_killed(recording: &Recording, front: usize, from: Duration, until: Duration) -> bool {
-    let killed = |process: &ProcessLife| {
+    let killed = |process: &ProcessRecord| {
         process.killed_at.is_some_and(|killed_at| killed_at <= until && from <= killed_at + KILL_SHADOW)
     };
     recording.processes.iter().any(|process| process.front == front && killed(process))
 }
 
-fn judge_end(recording: &Recording, request: &ClientRequest, finds: &mut Vec<Find>) {
+fn check_end(recording: &Recording, request: &ClientRequest, finds: &mut Vec<Find>) {
     let mut find = |rule, what: &str| finds.push(Find { rule, what: format!("{what}: {request:?}") });
     match request.end {
         End::Answered { status: 200, body_matches: false } => {
@@ -148,7 +148,7 @@
     }
 }
 
-fn judge_attempts(
+fn check_attempts(
     recording: &Recording,
     request: &ClientRequest,
     arrivals: &[&Arrival],
@@ -171,27 +171,27 @@
             find(Rule::AfterClientLeft, "begun after the client had left");
         }
         let left = (request.sent_at + request.patience).saturating_sub(arrival.at);
-        if arrival.told > left + TOLD_SLACK + MACHINE_SLACK && pause == Duration::ZERO {
-            find(Rule::ToldTooMuch, "told more than is left");
+        if arrival.remaining > left + DEADLINE_SLACK + MACHINE_SLACK && pause == Duration::ZERO {
+            find(Rule::DeadlineTooLong, "told more than is left");
         }
         // A front that stood still is allowed what it cannot see, and no more.
-        if arrival.told > left + TOLD_SLACK + 2 * MACHINE_SLACK && pause > Duration::ZERO {
-            find(Rule::ToldTooMuch, "told more than is left, after a pause");
+        if arrival.remaining > left + DEADLINE_SLACK + 2 * MACHINE_SLACK && pause > Duration::ZERO {
+            find(Rule::DeadlineTooLong, "told more than is left, after a pause");
         }
     }
 }
 
 /// When a front counts as told of a change.
-fn told_at(recording: &Recording, front: usize, process: &ProcessLife, change: usize) -> Duration {
+fn notified_at(recording: &Recording, front: usize, process: &ProcessRecord, change: usize) -> Duration {
     let change = &recording.changes[change];
     let outages = recording.discovery_outages.iter().filter(|outage| outage.until >= change.at);
     let reachable_at = outages.map(|outage| outage.until).fold(change.at, Duration::max);
-    let at_the_latest = (reachable_at + TOLD_AFTER).max(process.started_at);
-    let written = change.told_at[front].filter(|at| *at >= process.started_at);
+    let at_the_latest = (reachable_at + NOTIFIED_AFTER).max(process.started_at);
+    let written = change.notified_at[front].filter(|at| *at >= process.started_at);
     written.map_or(at_the_latest, |written| written.min(at_the_latest))
 }
 
-fn judge_drains(
+fn check_drains(
     recording: &Recording,
     request: &ClientRequest,
     arrivals: &[&Arrival],
@@ -205,16 +205,16 @@
         let processes = recording.processes.iter().filter(|process| process.front == request.front);
         let process = processes.rev().find(|process| process.started_at <= arrival.first_byte_at);
         let Some(process) = process else { continue };
-        let told_at = told_at(recording, request.front, process, index);
-        let pause = paused(recording, request.front, told_at, arrival.first_byte_at);
-        if arrival.first_byte_at > told_at + DRAIN_GRACE + MACHINE_SLACK + pause {
-            let what = format!("told at {told_at:?}: {request:?}, {arrival:?}");
+        let notified_at = notified_at(recording, request.front, process, index);
+        let pause = paused(recording, request.front, notified_at, arrival.first_byte_at);
+        if arrival.first_byte_at > notified_at + DRAIN_GRACE + MACHINE_SLACK + pause {
+            let what = format!("told at {notified_at:?}: {request:?}, {arrival:?}");
             finds.push(Find { rule: Rule::Drain, what });
         }
     }
 }
 
-fn judge_half_requests(recording: &Recording, finds: &mut Vec<Find>) {
+fn check_half_requests(recording: &Recording, finds: &mut Vec<Find>) {
     for half in &recording.half_requests {
         let until = half.ended_at.unwrap_or(half.sent_at + 2 * HALF_REQUEST_LIMIT);
         let pause = paused(recording, half.front, half.sent_at, until);
@@ -225,7 +225,7 @@
     }
 }
 
-fn judge_process(process: &ProcessLife, finds: &mut Vec<Find>) {
+fn check_process(process: &ProcessRecord, finds: &mut Vec<Find>) {
     let mut find = |rule| finds.push(Find { rule, what: format!("{process:?}") });
     let pause: Duration = process.pauses.iter().map(|pause| pause.until - pause.from).sum();
     let was_told = process.terminated_at.is_some() || process.killed_at.is_some();
@@ -255,7 +255,7 @@
     }
 }
 
-fn judge_cold_servers(recording: &Recording, cold: ColdStart, finds: &mut Vec<Find>) {
+fn check_cold_servers(recording: &Recording, cold: ColdStart, finds: &mut Vec<Find>) {
     for (server, started_at) in &recording.starts {
         let is_in_start = |arrival: &&Arrival| {
             arrival.server == *server && arrival.at >= *started_at && arrival.at < *started_at + cold.duration
--- a/crates/testbed/src/soak/client.rs
+++ b/crates/testbed/src/soak/client.rs
@@ -11,8 +11,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
+use super::fault::Fault;
 use super::recording::{Class, ClientRequest, End, HalfRequest, Recording};
-use super::trouble::Trouble;
 use super::wire::MessageReader;
 
 /// The mean time between two requests of a client.
@@ -32,8 +32,8 @@
     pub recording: Rc<RefCell<Recording>>,
     /// Whether they go on.
     pub running: Cell<bool>,
-    /// Their present trouble.
-    pub trouble: Cell<Option<Trouble>>,
+    /// Their present fault.
+    pub fault: Cell<Option<Fault>>,
     /// How many shards there are.
     pub shards: usize,
 }
@@ -48,11 +48,11 @@
 pub async fn run(world: Rc<ClientWorld>, front: usize, address: Rc<Cell<Option<SocketAddr>>>, mut rng: Rng) {
     let mut connection = None;
     while world.running.get() {
-        let burst = if world.trouble.get() == Some(Trouble::ClientsBurst) { 3.0 } else { 1.0 };
+        let burst = if world.fault.get() == Some(Fault::ClientsBurst) { 3.0 } else { 1.0 };
         let pause = -(1.0 - rng.f64()).ln() * PAUSE_MS / burst;
         sleep(Duration::from_secs_f64(pause / 1_000.0)).await;
         let Some(address) = address.get() else { continue };
-        if world.trouble.get() == Some(Trouble::ClientsStop) && rng.u8(..100) < 20 {
+        if world.fault.get() == Some(Fault::ClientsStop) && rng.u8(..100) < 20 {
             send_half(&world, front, address, &mut rng).await;
             continue;
         }
@@ -93,7 +93,7 @@
         let (end, ended_at) = match &mut connection {
             None => (End::NoConnection, sent_at),
             Some(connection) => {
-                let leave = world.trouble.get() == Some(Trouble::ClientsLeave) && rng.bool();
+                let leave = world.fault.get() == Some(Fault::ClientsLeave) && rng.bool();
                 let wait = if leave { Duration::from_millis(rng.u64(0..120)) } else { patience + OVERTIME };
                 let end = exchange(connection, &text, transaction, wait, leave).await;
                 (end, world.started.elapsed())
--- a/crates/testbed/src/soak/discovery.rs
+++ b/crates/testbed/src/soak/discovery.rs
@@ -10,16 +10,16 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
+use super::fault::Fault;
 use super::recording::{ListChange, Recording};
-use super::trouble::Trouble;
 use super::wire::MessageReader;
 
 /// How often a watch writes an empty line while nothing changes.
 const KEEPALIVE: Duration = Duration::from_secs(2);
 /// How late a slow discovery answers.
 const SLOW_ANSWER: Duration = Duration::from_millis(1_500);
-/// How often a watch looks whether discovery is in trouble.
-const TROUBLE_POLL: Duration = Duration::from_millis(20);
+/// How often a watch looks whether discovery is in fault.
+const FAULT_POLL: Duration = Duration::from_millis(20);
 
 /// The entry of a server.
 #[derive(Clone, Copy)]
@@ -39,8 +39,8 @@
     /// The change of the recording for each version of the list, and its server.
     versions: RefCell<Vec<usize>>,
     version: watch::Sender<usize>,
-    /// Its present trouble.
-    pub trouble: Cell<Option<Trouble>>,
+    /// Its present fault.
+    pub fault: Cell<Option<Fault>>,
     recording: Rc<RefCell<Recording>>,
     fronts: usize,
 }
@@ -58,7 +58,7 @@
             entries: RefCell::new(entries),
             versions: RefCell::default(),
             version: watch::Sender::new(0),
-            trouble: Cell::new(None),
+            fault: Cell::new(None),
             recording,
             fronts,
         })
@@ -74,7 +74,7 @@
             server,
             is_ready: lifecycle == "Ready",
             at: self.started.elapsed(),
-            told_at: vec![None; self.fronts],
+            notified_at: vec![None; self.fronts],
         });
         self.versions.borrow_mut().push(server);
         self.version.send_modify(|version| *version += 1);
@@ -113,14 +113,14 @@
     }
 
     async fn serve_watch(&self, front: usize, mut stream: TcpStream) -> std::io::Result<()> {
-        if self.trouble.get() == Some(Trouble::DiscoveryDown) {
+        if self.fault.get() == Some(Fault::DiscoveryDown) {
             return Ok(());
         }
         let mut reader = MessageReader::new(&mut stream);
         if reader.next().await.is_none() {
             return Ok(());
         }
-        if self.trouble.get() == Some(Trouble::DiscoverySlow) {
+        if self.fault.get() == Some(Fault::DiscoverySlow) {
             tokio::time::sleep(SLOW_ANSWER).await;
         }
         self.wait_while_silent().await;
@@ -128,22 +128,22 @@
         let mut version = self.version.subscribe();
         let mut told = *version.borrow_and_update();
         write_chunk(&mut stream, &(self.list() + "\n")).await?;
-        self.record_told(front, 0..told);
+        self.record_notified(front, 0..told);
         let mut quiet_since = Instant::now();
         loop {
             // The outcome shows in the version.
-            let _ = tokio::time::timeout(TROUBLE_POLL, version.changed()).await;
-            match self.trouble.get() {
-                Some(Trouble::DiscoveryDown) => return Ok(()),
+            let _ = tokio::time::timeout(FAULT_POLL, version.changed()).await;
+            match self.fault.get() {
+                Some(Fault::DiscoveryDown) => return Ok(()),
                 // A watch that has fallen silent stays so.
-                Some(Trouble::DiscoverySilent) => return std::future::pending().await,
+                Some(Fault::DiscoverySilent) => return std::future::pending().await,
                 _ => {}
             }
             let now_at = *version.borrow_and_update();
             if now_at > told {
                 let servers = self.versions.borrow()[told..now_at].to_vec();
                 write_chunk(&mut stream, &(self.message(false, &servers) + "\n")).await?;
-                self.record_told(front, told..now_at);
+                self.record_notified(front, told..now_at);
                 told = now_at;
                 quiet_since = Instant::now();
             } else if quiet_since.elapsed() >= KEEPALIVE {
@@ -154,17 +154,17 @@
     }
 
     async fn wait_while_silent(&self) {
-        while self.trouble.get() == Some(Trouble::DiscoverySilent) {
-            tokio::time::sleep(TROUBLE_POLL).await;
+        while self.fault.get() == Some(Fault::DiscoverySilent) {
+            tokio::time::sleep(FAULT_POLL).await;
         }
     }
 
     /// The latest telling counts: a front that was started anew is told anew.
-    fn record_told(&self, front: usize, versions: std::ops::Range<usize>) {
+    fn record_notified(&self, front: usize, versions: std::ops::Range<usize>) {
         let now = self.started.elapsed();
         let mut recording = self.recording.borrow_mut();
         for change in &mut recording.changes[versions] {
-            change.told_at[front] = Some(now);
+            change.notified_at[front] = Some(now);
         }
     }
 }
--- a/crates/testbed/src/soak/trouble.rs
+++ b/crates/testbed/src/soak/fault.rs
@@ -1,4 +1,4 @@
-//! The troubles of a soak, and which of them a seed draws.
+//! The faults of a soak, and which of them a seed draws.
 
 use std::fmt::{self, Display};
 use std::time::Duration;
@@ -7,7 +7,7 @@
 
 /// Something that goes wrong for a while.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
-pub enum Trouble {
+pub enum Fault {
     /// A front is ended by SIGTERM and started again.
     FrontRestarted,
     /// A front is killed and started again.
@@ -60,61 +60,61 @@
     ClockBehind,
 }
 
-impl Trouble {
-    /// All troubles.
-    pub const ALL: [Trouble; 25] = [
-        Trouble::FrontRestarted,
-        Trouble::FrontKilled,
-        Trouble::FrontPausedBriefly,
-        Trouble::FrontPausedLong,
-        Trouble::Reloads,
-        Trouble::BrokenReload,
-        Trouble::ServerDrains,
-        Trouble::ServerRestarted,
-        Trouble::ServerHangs,
-        Trouble::ServerResets,
-        Trouble::ServerSlow,
-        Trouble::ServerRejects,
-        Trouble::ServerCloses,
-        Trouble::DiscoveryDown,
-        Trouble::DiscoverySilent,
-        Trouble::DiscoverySlow,
-        Trouble::ClientsLeave,
-        Trouble::ClientsStop,
-        Trouble::ClientsBurst,
-        Trouble::AcceptFails,
-        Trouble::ConnectFails,
-        Trouble::ShortTransfers,
-        Trouble::Interrupts,
-        Trouble::ClockAhead,
-        Trouble::ClockBehind,
+impl Fault {
+    /// All faults.
+    pub const ALL: [Fault; 25] = [
+        Fault::FrontRestarted,
+        Fault::FrontKilled,
+        Fault::FrontPausedBriefly,
+        Fault::FrontPausedLong,
+        Fault::Reloads,
+        Fault::BrokenReload,
+        Fault::ServerDrains,
+        Fault::ServerRestarted,
+        Fault::ServerHangs,
+        Fault::ServerResets,
+        Fault::ServerSlow,
+        Fault::ServerRejects,
+        Fault::ServerCloses,
+        Fault::DiscoveryDown,
+        Fault::DiscoverySilent,
+        Fault::DiscoverySlow,
+        Fault::ClientsLeave,
+        Fault::ClientsStop,
+        Fault::ClientsBurst,
+        Fault::AcceptFails,
+        Fault::ConnectFails,
+        Fault::ShortTransfers,
+        Fault::Interrupts,
+        Fault::ClockAhead,
+        Fault::ClockBehind,
     ];
 
-    /// The rules of the fault shim, for the troubles that it makes.
+    /// The rules of the fault shim, for the faults that it makes.
     pub fn shim_rules(self) -> Option<&'static str> {
         match self {
-            Trouble::AcceptFails => Some("accept ECONNABORTED 30\n"),
-            Trouble::ConnectFails => Some("connect ENETUNREACH 20\nsocket ENFILE 20\n"),
-            Trouble::ShortTransfers => Some("recv short 50\nsend short 50\n"),
-            Trouble::Interrupts => Some("wait EINTR 30\n"),
-            Trouble::ClockAhead => Some("clock 3600000\n"),
-            Trouble::ClockBehind => Some("clock -3600000\n"),
+            Fault::AcceptFails => Some("accept ECONNABORTED 30\n"),
+            Fault::ConnectFails => Some("connect ENETUNREACH 20\nsocket ENFILE 20\n"),
+            Fault::ShortTransfers => Some("recv short 50\nsend short 50\n"),
+            Fault::Interrupts => Some("wait EINTR 30\n"),
+            Fault::ClockAhead => Some("clock 3600000\n"),
+            Fault::ClockBehind => Some("clock -3600000\n"),
             _ => None,
         }
     }
 }
 
-impl Display for Trouble {
+impl Display for Fault {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{self:?}")
     }
 }
 
-/// A trouble with its time.
+/// A fault with its time.
 #[derive(Clone, Copy, Debug, Serialize)]
-pub struct ScheduledTrouble {
-    /// The trouble.
-    pub trouble: Trouble,
+pub struct ScheduledFault {
+    /// The fault.
+    pub fault: Fault,
     /// When it begins, after the start of the load.
     pub from: Duration,
     /// When it ends.
@@ -123,24 +123,24 @@
     pub target: usize,
 }
 
-/// When the first trouble begins.
-const FIRST_TROUBLE_MS: u64 = 2_000;
+/// When the first fault begins.
+const FIRST_FAULT_MS: u64 = 2_000;
 /// How much later others begin, at the most.
 const SPREAD_MS: u64 = 1_500;
-/// The shortest and the longest trouble.
+/// The shortest and the longest fault.
 const LENGTH_MS: (u64, u64) = (1_500, 4_000);
 
-/// The troubles of a seed: two or three different ones that overlap in time.
-pub fn draw(seed: u64) -> Vec<ScheduledTrouble> {
+/// The faults of a seed: two or three different ones that overlap in time.
+pub fn draw(seed: u64) -> Vec<ScheduledFault> {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let mut kinds = Trouble::ALL;
+    let mut kinds = Fault::ALL;
     rng.shuffle(&mut kinds);
     let count = rng.usize(2..=3);
-    let mut schedule = |trouble: Trouble| {
-        let from = FIRST_TROUBLE_MS + rng.u64(0..SPREAD_MS);
+    let mut schedule = |fault: Fault| {
+        let from = FIRST_FAULT_MS + rng.u64(0..SPREAD_MS);
         let until = from + rng.u64(LENGTH_MS.0..LENGTH_MS.1).max(SPREAD_MS);
         let (from, until) = (Duration::from_millis(from), Duration::from_millis(until));
-        ScheduledTrouble { trouble, from, until, target: rng.usize(..) }
+        ScheduledFault { fault, from, until, target: rng.usize(..) }
     };
     kinds.into_iter().take(count).map(&mut schedule).collect()
 }
--- a/crates/testbed/src/soak/front.rs
+++ b/crates/testbed/src/soak/front.rs
@@ -1,4 +1,4 @@
-//! A front of a soak: a process of the program under the fault shim, started anew where a trouble ends it.
+//! A front of a soak: a process of the program under the fault shim, started anew where a fault ends it.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use super::recording::{ProcessLife, Recording, Span};
+use super::recording::{ProcessRecord, Recording, Span};
 use super::wire::MessageReader;
 use crate::testbed::TestbedError;
 
@@ -45,7 +45,7 @@
     recording: Rc<RefCell<Recording>>,
     child: RefCell<Option<Child>>,
     /// The number of its present process in the recording.
-    life: Cell<usize>,
+    record: Cell<usize>,
     console: Cell<Option<SocketAddr>>,
     /// Where clients connect, while the front is in use.
     pub address: Rc<Cell<Option<SocketAddr>>>,
@@ -70,7 +70,7 @@
             started,
             recording,
             child: RefCell::default(),
-            life: Cell::new(0),
+            record: Cell::new(0),
             console: Cell::new(None),
             address: Rc::default(),
             rules: RefCell::default(),
@@ -114,7 +114,7 @@
         let deadline = Instant::now() + PROCESS_TIMEOUT;
         while Instant::now() < deadline {
             if get(address, "/health/ready").await.is_some_and(|answer| answer.status() == 200) {
-                self.with_life(|life, now| life.ready_at = Some(now));
+                self.with_record(|record, now| record.ready_at = Some(now));
                 self.address.set(Some(address));
                 return Ok(());
             }
@@ -125,8 +125,8 @@
 
     fn record_start(&self) {
         let mut recording = self.recording.borrow_mut();
-        self.life.set(recording.processes.len());
-        recording.processes.push(ProcessLife {
+        self.record.set(recording.processes.len());
+        recording.processes.push(ProcessRecord {
             front: self.setup.number,
             started_at: self.started.elapsed(),
             ready_at: None,
@@ -155,16 +155,16 @@
         }
     }
 
-    fn with_life(&self, change: impl FnOnce(&mut ProcessLife, Duration)) {
+    fn with_record(&self, change: impl FnOnce(&mut ProcessRecord, Duration)) {
         let now = self.started.elapsed();
-        change(&mut self.recording.borrow_mut().processes[self.life.get()], now);
+        change(&mut self.recording.borrow_mut().processes[self.record.get()], now);
     }
 
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         match signal {
-            Signal::SIGTERM => self.with_life(|life, now| life.terminated_at = Some(now)),
-            Signal::SIGKILL => self.with_life(|life, now| life.killed_at = Some(now)),
+            Signal::SIGTERM => self.with_record(|record, now| record.terminated_at = Some(now)),
+            Signal::SIGKILL => self.with_record(|record, now| record.killed_at = Some(now)),
             _ => {}
         }
         if let Some(child) = &*self.child.borrow() {
@@ -179,13 +179,13 @@
         self.signal(Signal::SIGSTOP);
         sleep(time).await;
         self.signal(Signal::SIGCONT);
-        self.with_life(|life, now| life.pauses.push(Span { from, until: now }));
+        self.with_record(|record, now| record.pauses.push(Span { from, until: now }));
     }
 
     /// Ends the process by a signal and waits for that.
     pub async fn end(&self, signal: Signal) {
         let violations = self.violations().await;
-        self.with_life(|life, _| life.violations += violations);
+        self.with_record(|record, _| record.violations += violations);
         self.signal(signal);
         let deadline = Instant::now() + PROCESS_TIMEOUT;
         while Instant::now() < deadline {
@@ -202,9 +202,9 @@
         let Some(status) = status else { return false };
         *self.child.borrow_mut() = None;
         self.address.set(None);
-        self.with_life(|life, now| {
-            life.ended_at = Some(now);
-            life.exit_code = status.code();
+        self.with_record(|record, now| {
+            record.ended_at = Some(now);
+            record.exit_code = status.code();
         });
         true
     }
--- a/crates/testbed/src/soak/recording.rs
+++ b/crates/testbed/src/soak/recording.rs
@@ -75,7 +75,7 @@
     /// When its last byte was read.
     pub at: Duration,
     /// The time that it tells.
-    pub told: Duration,
+    pub remaining: Duration,
     /// Whether the server turned it away unexecuted.
     pub turned_away: bool,
 }
@@ -90,7 +90,7 @@
     /// When discovery had it.
     pub at: Duration,
     /// When it was written to each front first, after the start of its present process; absent if it was not.
-    pub told_at: Vec<Option<Duration>>,
+    pub notified_at: Vec<Option<Duration>>,
 }
 
 /// A time in which something held.
@@ -109,9 +109,9 @@
     }
 }
 
-/// The life of one process of a front.
+/// The record of one process of a front.
 #[derive(Clone, Debug, Serialize)]
-pub struct ProcessLife {
+pub struct ProcessRecord {
     /// The front.
     pub front: usize,
     /// When it was started.
@@ -146,7 +146,7 @@
     /// When discovery could not be reached or told nothing.
     pub discovery_outages: Vec<Span>,
     /// Processes.
-    pub processes: Vec<ProcessLife>,
+    pub processes: Vec<ProcessRecord>,
     /// When servers started anew.
     pub starts: Vec<(usize, Duration)>,
 }
--- a/crates/testbed/src/soak/run.rs
+++ b/crates/testbed/src/soak/run.rs
@@ -1,4 +1,4 @@
-//! One soak: a seed, its troubles, and what the judge finds.
+//! One soak: a seed, its faults, and what the checker finds.
 
 use std::cell::{Cell, RefCell};
 use std::fmt::{self, Display};
@@ -13,13 +13,13 @@
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::sleep;
 
+use super::checker::{check, ColdStart, Find};
 use super::client::{self, ClientWorld};
 use super::discovery::{Discovery, Entry};
+use super::fault::{draw, Fault, ScheduledFault};
 use super::front::{Front, FrontSetup};
-use super::judge::{judge, ColdStart, Find};
 use super::recording::{End, Recording, Span};
 use super::server::Server;
-use super::trouble::{draw, ScheduledTrouble, Trouble};
 use crate::testbed::TestbedError;
 
 const SETTINGS: &str = include_str!("../settings.json");
@@ -52,7 +52,7 @@
     pub program: PathBuf,
     /// The seed.
     pub seed: u64,
-    /// Whether the seed's troubles are left out.
+    /// Whether the seed's faults are left out.
     pub calm: bool,
     /// How many fronts there are.
     pub fronts: usize,
@@ -65,8 +65,8 @@
 pub struct SoakResult {
     /// The seed.
     pub seed: u64,
-    /// Its troubles.
-    pub troubles: Vec<ScheduledTrouble>,
+    /// Its faults.
+    pub faults: Vec<ScheduledFault>,
     /// Requests of clients.
     pub requests: usize,
     /// Those that were served.
@@ -79,10 +79,10 @@
 
 impl Display for SoakResult {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let troubles: Vec<String> = self.troubles.iter().map(|entry| entry.trouble.to_string()).collect();
+        let faults: Vec<String> = self.faults.iter().map(|entry| entry.fault.to_string()).collect();
         let SoakResult { seed, requests, served, attempts, .. } = self;
-        let troubles = troubles.join(" + ");
-        write!(formatter, "{seed}: {troubles}: {requests} requests, {served} served, {attempts} attempts")?;
+        let faults = faults.join(" + ");
+        write!(formatter, "{seed}: {faults}: {requests} requests, {served} served, {attempts} attempts")?;
         for find in &self.finds {
             write!(formatter, "\n    {:?}: {}", find.rule, find.what)?;
         }
@@ -107,8 +107,8 @@
 /// If the operating system rejects something, or a front does not start.
 pub async fn run_seed(setup: &SoakSetup) -> Result<SoakResult, TestbedError> {
     let folder = std::env::temp_dir().join(format!("tulipbridge-soak-{}-{}", std::process::id(), setup.seed));
-    let troubles = if setup.calm { Vec::new() } else { draw(setup.seed) };
-    let result = soak(setup, &troubles, &folder).await;
+    let faults = if setup.calm { Vec::new() } else { draw(setup.seed) };
+    let result = soak(setup, &faults, &folder).await;
     // What is left over is only a folder.
     let _ = std::fs::remove_dir_all(&folder);
     let recording = result?;
@@ -118,19 +118,19 @@
         requests: recording.requests.len(),
         served: recording.requests.iter().filter(|request| is_served(request.end)).count(),
         attempts: recording.arrivals.len(),
-        finds: judge(&recording, COLD_START),
-        troubles,
+        finds: check(&recording, COLD_START),
+        faults,
     })
 }
 
 async fn soak(
     setup: &SoakSetup,
-    troubles: &[ScheduledTrouble],
+    faults: &[ScheduledFault],
     folder: &Path,
 ) -> Result<Recording, TestbedError> {
     let world = Rc::new(World::open(setup, folder).await?);
-    for entry in troubles.iter().filter(|entry| is_clock(entry.trouble)) {
-        world.front(entry).set_rules(entry.trouble.shim_rules().unwrap_or_default(), true);
+    for entry in faults.iter().filter(|entry| is_clock(entry.fault)) {
+        world.front(entry).set_rules(entry.fault.shim_rules().unwrap_or_default(), true);
     }
     for front in &world.fronts {
         front.start().await?;
@@ -143,7 +143,7 @@
             spawn_local(client::run(clients, number, address, fastrand::Rng::with_seed(rng.u64(..))));
         }
     }
-    for entry in troubles {
+    for entry in faults {
         spawn_local(Rc::clone(&world).play(*entry));
     }
     sleep(LOAD_TIME).await;
@@ -159,8 +159,8 @@
     Ok(recording)
 }
 
-fn is_clock(trouble: Trouble) -> bool {
-    matches!(trouble, Trouble::ClockAhead | Trouble::ClockBehind)
+fn is_clock(fault: Fault) -> bool {
+    matches!(fault, Fault::ClockAhead | Fault::ClockBehind)
 }
 
 async fn listen() -> Result<(TcpListener, SocketAddr), TestbedError> {
@@ -203,72 +203,72 @@
             started,
             recording: Rc::clone(&recording),
             running: Cell::new(true),
-            trouble: Cell::new(None),
+            fault: Cell::new(None),
             shards: setup.servers,
         });
         let server_tasks = RefCell::new(server_tasks);
         Ok(World { fronts, servers, server_tasks, discovery, clients, recording, started })
     }
 
-    fn front(&self, entry: &ScheduledTrouble) -> &Rc<Front> {
+    fn front(&self, entry: &ScheduledFault) -> &Rc<Front> {
         &self.fronts[entry.target % self.fronts.len()]
     }
 
-    /// Plays one trouble in its time.
-    async fn play(self: Rc<Self>, entry: ScheduledTrouble) {
+    /// Plays one fault in its time.
+    async fn play(self: Rc<Self>, entry: ScheduledFault) {
         sleep(entry.from).await;
         let length = entry.until - entry.from;
-        match entry.trouble {
-            Trouble::FrontRestarted
-            | Trouble::FrontKilled
-            | Trouble::FrontPausedBriefly
-            | Trouble::FrontPausedLong
-            | Trouble::Reloads
-            | Trouble::BrokenReload => self.trouble_front(&entry, length).await,
-            Trouble::ServerDrains
-            | Trouble::ServerRestarted
-            | Trouble::ServerHangs
-            | Trouble::ServerResets
-            | Trouble::ServerSlow
-            | Trouble::ServerRejects
-            | Trouble::ServerCloses => self.trouble_server(&entry, length).await,
-            Trouble::DiscoveryDown | Trouble::DiscoverySilent | Trouble::DiscoverySlow => {
-                self.discovery.trouble.set(Some(entry.trouble));
+        match entry.fault {
+            Fault::FrontRestarted
+            | Fault::FrontKilled
+            | Fault::FrontPausedBriefly
+            | Fault::FrontPausedLong
+            | Fault::Reloads
+            | Fault::BrokenReload => self.fault_front(&entry, length).await,
+            Fault::ServerDrains
+            | Fault::ServerRestarted
+            | Fault::ServerHangs
+            | Fault::ServerResets
+            | Fault::ServerSlow
+            | Fault::ServerRejects
+            | Fault::ServerCloses => self.fault_server(&entry, length).await,
+            Fault::DiscoveryDown | Fault::DiscoverySilent | Fault::DiscoverySlow => {
+                self.discovery.fault.set(Some(entry.fault));
                 let from = self.started.elapsed();
                 sleep(length).await;
-                self.discovery.trouble.set(None);
+                self.discovery.fault.set(None);
                 let span = Span { from, until: self.started.elapsed() };
                 self.recording.borrow_mut().discovery_outages.push(span);
             }
-            Trouble::ClientsLeave | Trouble::ClientsStop | Trouble::ClientsBurst => {
-                self.clients.trouble.set(Some(entry.trouble));
+            Fault::ClientsLeave | Fault::ClientsStop | Fault::ClientsBurst => {
+                self.clients.fault.set(Some(entry.fault));
                 sleep(length).await;
-                self.clients.trouble.set(None);
+                self.clients.fault.set(None);
             }
-            Trouble::AcceptFails | Trouble::ConnectFails | Trouble::ShortTransfers | Trouble::Interrupts => {
-                let rules = entry.trouble.shim_rules().unwrap_or_default();
+            Fault::AcceptFails | Fault::ConnectFails | Fault::ShortTransfers | Fault::Interrupts => {
+                let rules = entry.fault.shim_rules().unwrap_or_default();
                 self.fronts.iter().for_each(|front| front.set_rules(rules, true));
                 sleep(length).await;
                 self.fronts.iter().for_each(|front| front.set_rules(rules, false));
             }
             // In force since before the start.
-            Trouble::ClockAhead | Trouble::ClockBehind => {}
+            Fault::ClockAhead | Fault::ClockBehind => {}
         }
     }
 
-    async fn trouble_front(&self, entry: &ScheduledTrouble, length: Duration) {
+    async fn fault_front(&self, entry: &ScheduledFault, length: Duration) {
         let front = self.front(entry);
-        match entry.trouble {
-            Trouble::FrontRestarted => self.restart_front(front, Signal::SIGTERM).await,
-            Trouble::FrontKilled => self.restart_front(front, Signal::SIGKILL).await,
-            Trouble::FrontPausedBriefly => {
+        match entry.fault {
+            Fault::FrontRestarted => self.restart_front(front, Signal::SIGTERM).await,
+            Fault::FrontKilled => self.restart_front(front, Signal::SIGKILL).await,
+            Fault::FrontPausedBriefly => {
                 for _ in 0..3 {
                     front.pause(BRIEF_PAUSE).await;
                     sleep(length / 4).await;
                 }
             }
-            Trouble::FrontPausedLong => front.pause(LONG_PAUSE).await,
-            Trouble::BrokenReload => {
+            Fault::FrontPausedLong => front.pause(LONG_PAUSE).await,
+            Fault::BrokenReload => {
                 front.reload("\"MostTries\": 3", "\"MostTries\": \"three\"");
                 // A front that starts on a broken file refuses to, as its pages say.
                 sleep(BROKEN_FILE_TIME).await;
@@ -284,19 +284,19 @@
         }
     }
 
-    async fn trouble_server(&self, entry: &ScheduledTrouble, length: Duration) {
+    async fn fault_server(&self, entry: &ScheduledFault, length: Duration) {
         let number = entry.target % self.servers.len();
-        match entry.trouble {
-            Trouble::ServerDrains => {
+        match entry.fault {
+            Fault::ServerDrains => {
                 self.discovery.change(number, "Terminating", None);
                 sleep(length).await;
                 self.discovery.change(number, "Ready", None);
             }
-            Trouble::ServerRestarted => self.restart_server(number).await,
+            Fault::ServerRestarted => self.restart_server(number).await,
             _ => {
-                self.servers[number].trouble.set(Some(entry.trouble));
+                self.servers[number].fault.set(Some(entry.fault));
                 sleep(length).await;
-                self.servers[number].trouble.set(None);
+                self.servers[number].fault.set(None);
             }
         }
     }
--- a/crates/testbed/src/soak/server.rs
+++ b/crates/testbed/src/soak/server.rs
@@ -8,8 +8,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, AbortHandle};
 
+use super::fault::Fault;
 use super::recording::{Arrival, Recording};
-use super::trouble::Trouble;
 use super::wire::{Message, MessageReader};
 
 /// How long a request takes.
@@ -22,8 +22,8 @@
     number: usize,
     started: Instant,
     recording: Rc<RefCell<Recording>>,
-    /// Its present trouble.
-    pub trouble: Cell<Option<Trouble>>,
+    /// Its present fault.
+    pub fault: Cell<Option<Fault>>,
     connections: RefCell<Vec<AbortHandle>>,
     requests: Cell<u64>,
 }
@@ -35,7 +35,7 @@
             number,
             started,
             recording,
-            trouble: Cell::new(None),
+            fault: Cell::new(None),
             connections: RefCell::default(),
             requests: Cell::new(0),
         })
@@ -61,13 +61,13 @@
         let mut reader = MessageReader::new(read);
         while let Some(message) = reader.next().await {
             self.requests.set(self.requests.get() + 1);
-            let trouble = self.trouble.get();
-            let is_turned_away = trouble == Some(Trouble::ServerRejects) && self.requests.get() % 2 == 0;
+            let fault = self.fault.get();
+            let is_turned_away = fault == Some(Fault::ServerRejects) && self.requests.get() % 2 == 0;
             self.record(&message, is_turned_away);
-            match trouble {
-                Some(Trouble::ServerHangs) => return std::future::pending().await,
-                Some(Trouble::ServerResets) if self.requests.get() % 3 == 0 => return,
-                Some(Trouble::ServerSlow) => tokio::time::sleep(SLOW_LATENCY).await,
+            match fault {
+                Some(Fault::ServerHangs) => return std::future::pending().await,
+                Some(Fault::ServerResets) if self.requests.get() % 3 == 0 => return,
+                Some(Fault::ServerSlow) => tokio::time::sleep(SLOW_LATENCY).await,
                 _ => tokio::time::sleep(LATENCY).await,
             }
             let transaction = message.header("x-txn").unwrap_or_default();
@@ -76,7 +76,7 @@
             } else {
                 format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{transaction}", transaction.len())
             };
-            if write.write_all(answer.as_bytes()).await.is_err() || trouble == Some(Trouble::ServerCloses) {
+            if write.write_all(answer.as_bytes()).await.is_err() || fault == Some(Fault::ServerCloses) {
                 return;
             }
         }
@@ -91,7 +91,7 @@
             transaction: transaction.unwrap_or(0),
             first_byte_at: message.first_byte_at - self.started,
             at: self.started.elapsed(),
-            told: Duration::from_micros(told),
+            remaining: Duration::from_micros(told),
             turned_away,
         });
     }
--- a/crates/testbed/tests/soak_judge.rs
+++ b/crates/testbed/tests/soak_checker.rs
@@ -1,12 +1,12 @@
-//! The judge of soaks: a recording within the rules, and one with a fault against each.
+//! The checker of soaks: a recording within the rules, and one with a fault against each.
 
 use std::time::Duration;
 
-use tulipbridge_testbed::soak::judge::{judge, ColdStart, Rule};
+use tulipbridge_testbed::soak::checker::{check, ColdStart, Rule};
+use tulipbridge_testbed::soak::fault::{draw, Fault};
 use tulipbridge_testbed::soak::recording::{
-    Arrival, Class, ClientRequest, End, HalfRequest, ListChange, ProcessLife, Recording,
+    Arrival, Class, ClientRequest, End, HalfRequest, ListChange, ProcessRecord, Recording,
 };
-use tulipbridge_testbed::soak::trouble::{draw, Trouble};
 
 const COLD_START: ColdStart = ColdStart {
     capacity: 10.0,
@@ -21,8 +21,8 @@
     Duration::from_millis(milliseconds)
 }
 
-fn process() -> ProcessLife {
-    ProcessLife {
+fn process() -> ProcessRecord {
+    ProcessRecord {
         front: 0,
         started_at: ms(0),
         ready_at: Some(ms(100)),
@@ -47,19 +47,19 @@
     }
 }
 
-fn arrival(at: u64, told: u64) -> Arrival {
+fn arrival(at: u64, remaining: u64) -> Arrival {
     Arrival {
         server: 0,
         transaction: 1,
         first_byte_at: ms(at),
         at: ms(at),
-        told: ms(told),
+        remaining: ms(remaining),
         turned_away: false,
     }
 }
 
 fn rules(recording: &Recording) -> Vec<Rule> {
-    judge(recording, COLD_START).into_iter().map(|find| find.rule).collect()
+    check(recording, COLD_START).into_iter().map(|find| find.rule).collect()
 }
 
 #[test]
@@ -79,7 +79,7 @@
     assert_eq!(rules(&recording(Class::Write, OK, &two)), [Rule::Duplicate]);
     assert_eq!(rules(&recording(Class::Write, refused, &one)), [Rule::RefusedAndRun]);
     assert_eq!(rules(&recording(Class::Read, End::Left, &[arrival(10_400, 500)])), [Rule::AfterClientLeft]);
-    assert_eq!(rules(&recording(Class::Read, OK, &[arrival(10_090, 1_200)])), [Rule::ToldTooMuch]);
+    assert_eq!(rules(&recording(Class::Read, OK, &[arrival(10_090, 1_200)])), [Rule::DeadlineTooLong]);
 }
 
 #[test]
@@ -88,7 +88,7 @@
         server: 0,
         is_ready: false,
         at: ms(at),
-        told_at: vec![told.map(ms)],
+        notified_at: vec![told.map(ms)],
     };
     let mut told = recording(Class::Read, OK, &[arrival(10_010, 980)]);
     told.changes = vec![change(9_000, Some(9_100))];
@@ -110,9 +110,9 @@
     calm.half_requests.clear();
     calm.processes[0].exit_code = None;
     assert_eq!(rules(&calm), [Rule::Crash]);
-    calm.processes[0] = ProcessLife { ended_at: Some(ms(24_500)), violations: 1, ..process() };
+    calm.processes[0] = ProcessRecord { ended_at: Some(ms(24_500)), violations: 1, ..process() };
     assert_eq!(rules(&calm), [Rule::LateExit, Rule::Counted]);
-    calm.processes[0] = ProcessLife { ready_at: None, ..process() };
+    calm.processes[0] = ProcessRecord { ready_at: None, ..process() };
     assert_eq!(rules(&calm), [Rule::LateReady]);
     calm.processes[0] = process();
     // It bears 8 requests in two seconds at first, and 19 with the allowance.
@@ -123,15 +123,15 @@
 
 #[test]
 fn seed_draws_the_same_troubles_each_time_and_they_overlap() {
-    let mut drawn: Vec<Trouble> = Vec::new();
+    let mut drawn: Vec<Fault> = Vec::new();
     for seed in 0..200 {
-        let troubles = draw(seed);
-        let again: Vec<Trouble> = draw(seed).iter().map(|entry| entry.trouble).collect();
-        assert_eq!(again, troubles.iter().map(|entry| entry.trouble).collect::<Vec<_>>());
-        assert!((2..=3).contains(&troubles.len()));
-        let latest_start = troubles.iter().map(|entry| entry.from).max();
-        assert!(troubles.iter().all(|entry| Some(entry.until) >= latest_start), "seed {seed}");
+        let faults = draw(seed);
+        let again: Vec<Fault> = draw(seed).iter().map(|entry| entry.fault).collect();
+        assert_eq!(again, faults.iter().map(|entry| entry.fault).collect::<Vec<_>>());
+        assert!((2..=3).contains(&faults.len()));
+        let latest_start = faults.iter().map(|entry| entry.from).max();
+        assert!(faults.iter().all(|entry| Some(entry.until) >= latest_start), "seed {seed}");
         drawn.extend(again);
     }
-    assert!(Trouble::ALL.iter().all(|trouble| drawn.contains(trouble)));
+    assert!(Fault::ALL.iter().all(|fault| drawn.contains(fault)));
 }
--- a/src/control/maintenance.rs
+++ b/src/control/maintenance.rs
@@ -39,8 +39,8 @@
     /// The content of the file when it was last read or written here.
     last_content: RefCell<Vec<u8>>,
     unwritten: RefCell<UnwrittenChanges<String>>,
-    /// The latest trouble with the file, which is logged once.
-    trouble: RefCell<String>,
+    /// The latest error of the file, which is logged once.
+    file_error: RefCell<String>,
     exchange: Rc<Exchange<Upstream>>,
 }
 
@@ -71,7 +71,7 @@
             file: folder.map(|folder| MaintenanceFile::new(&folder, name)),
             last_content: RefCell::default(),
             unwritten: RefCell::default(),
-            trouble: RefCell::default(),
+            file_error: RefCell::default(),
             exchange,
         });
         maintenance.sync();
@@ -153,7 +153,7 @@
         let Some(file) = &self.file else { return };
         match file.read() {
             Ok(content) => self.apply(file, content.unwrap_or_default()),
-            Err(error) => self.log_trouble(file, "read", &error),
+            Err(error) => self.log_file_error(file, "read", &error),
         }
     }
 
@@ -190,8 +190,8 @@
             return;
         };
         match self.try_write(file) {
-            Ok(()) => self.trouble.borrow_mut().clear(),
-            Err(error) => self.log_trouble(file, "write", &error),
+            Ok(()) => self.file_error.borrow_mut().clear(),
+            Err(error) => self.log_file_error(file, "write", &error),
         }
     }
 
@@ -210,11 +210,11 @@
         Ok(())
     }
 
-    fn log_trouble(&self, file: &MaintenanceFile, action: &str, error: &dyn Display) {
-        let trouble = format!("cannot {action} {}: {error}", file.path().display());
-        if *self.trouble.borrow() != trouble {
-            log!("maintenance: {trouble}; tried again until it succeeds");
-            *self.trouble.borrow_mut() = trouble;
+    fn log_file_error(&self, file: &MaintenanceFile, action: &str, error: &dyn Display) {
+        let message = format!("cannot {action} {}: {error}", file.path().display());
+        if *self.file_error.borrow() != message {
+            log!("maintenance: {message}; tried again until it succeeds");
+            *self.file_error.borrow_mut() = message;
         }
     }
 }
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -34,7 +34,7 @@
 /// Header with the transaction id.
 const TRANSACTION_ID: HeaderName = HeaderName::from_static("x-txn");
 /// What is taken off the time that a server is told.
-const TOLD_MARGIN: Duration = Duration::from_millis(20);
+const REMAINING_MARGIN: Duration = Duration::from_millis(20);
 /// Header with the time that the client still waits, in microseconds with the suffix `u`.
 const REMAINING: HeaderName = HeaderName::from_static("x-remaining");
 
@@ -132,7 +132,7 @@
     let mut request = Request::new(Full::new(payload.body.clone()));
     *request.method_mut() = payload.method.clone();
     *request.uri_mut() = payload.target.clone();
-    let remaining = told_remaining(deadline.saturating_duration_since(Instant::now())).as_micros();
+    let remaining = remaining_for_server(deadline.saturating_duration_since(Instant::now())).as_micros();
     let headers = request.headers_mut();
     headers.clone_from(&payload.headers);
     headers.insert(HOST, HOST_NAME);
@@ -145,8 +145,8 @@
 
 /// The time that a server is told: less than what is left by what a request takes to the server and this process may be
 /// late, and at least half of it.
-fn told_remaining(left: Duration) -> Duration {
-    left.saturating_sub(TOLD_MARGIN).max(left / 2)
+fn remaining_for_server(left: Duration) -> Duration {
+    left.saturating_sub(REMAINING_MARGIN).max(left / 2)
 }
 
 /// A socket that records its traffic in a [`WireState`].
