--- a/review/3/case.py
+++ b/review/3/case.py
@@ -155,4 +155,4 @@
     return BROKEN if killed else HELD
 
 
-standins.run(HERE, case)
+standins.run(os.path.join(HERE, "record.txt"), case)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -46,11 +46,11 @@
 
 
 class Record:
-    """Writes what happens to record.txt, with the time since the start in seconds."""
+    """Writes what happens to the record of a case, with the time since the start in seconds."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.started = time.monotonic()
-        self.file = open(os.path.join(folder, "record.txt"), "w", buffering=1)
+        self.file = open(path, "w", buffering=1)
 
     def __call__(self, text):
         self.file.write(f"{time.monotonic() - self.started:9.4f} {text}\n")
@@ -350,10 +350,12 @@
     return {"generation": 0, "reset": True, "instances": [server.entry() for server in servers]}
 
 
-def run(folder, case):
-    """Runs `case(record, processes)`, an async function that returns the exit code."""
-    record = Record(folder)
+def run(path, case):
+    """Runs `case(record, processes)`, an async function that returns the exit code, with its record at `path`."""
+    record = Record(path)
     processes = Processes(record)
+    # A script that is told to end still ends the processes that it has started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record(f"TROUBLE={'1' if TROUBLE else '0'}")
     try:
         code = asyncio.run(asyncio.wait_for(case(record, processes), 110))
