Show the memory of request bodies in the metrics

New: app_request_body_bytes, app_request_body_limit_bytes and app_request_bodies_rejected{reason}, from the budget itself.

--- a/src/body_budget.rs
+++ b/src/body_budget.rs
@@ -3,10 +3,13 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
+use crate::telemetry::body_metrics::BodyMetrics;
+
 /// Limits the total size of the request bodies that a front buffers.
 pub struct BodyBudget {
     max_bytes: usize,
     reserved_bytes: AtomicUsize,
+    metrics: BodyMetrics,
 }
 
 impl BodyBudget {
@@ -15,8 +18,14 @@
         Arc::new(BodyBudget {
             max_bytes,
             reserved_bytes: AtomicUsize::new(0),
+            metrics: BodyMetrics::new(max_bytes),
         })
     }
+
+    /// Returns the metrics of the budget, which are up to date at any time.
+    pub fn metrics(&self) -> &BodyMetrics {
+        &self.metrics
+    }
 }
 
 /// The error of a reservation that would exceed its [`BodyBudget`].
@@ -59,9 +68,11 @@
             .reserved_bytes
             .fetch_add(additional, Ordering::Relaxed)
             + additional;
+        self.budget.metrics.add_reserved(additional);
         self.bytes += additional;
         // A single body always fits, so that a long request is not rejected forever.
         if reserved > self.budget.max_bytes && reserved > self.bytes {
+            self.budget.metrics.count_exhausted();
             return Err(BodyBudgetExhausted);
         }
         Ok(())
@@ -73,5 +84,6 @@
         self.budget
             .reserved_bytes
             .fetch_sub(self.bytes, Ordering::Relaxed);
+        self.budget.metrics.subtract_reserved(self.bytes);
     }
 }
--- a/src/front/assembly.rs
+++ b/src/front/assembly.rs
@@ -14,6 +14,7 @@
 use tulipbridge_core::invariant_monitor::Violation;
 use tulipbridge_core::{Nanos, Settings};
 
+use crate::body_budget::BodyBudget;
 use crate::cluster::peers::Peers;
 use crate::config::Config;
 use crate::control::console::{self, Console, ConsoleParts};
@@ -78,9 +79,13 @@
             shutdown.await;
             shutdown_at.set(Instant::now());
         };
-        Listener::new(handler, self.listener_limits, self.listener_status.clone())
-            .serve(listener, shutdown)
-            .await;
+        Listener::new(
+            handler,
+            self.listener_limits.clone(),
+            self.listener_status.clone(),
+        )
+        .serve(listener, shutdown)
+        .await;
         if let Some(peers) = &self.peers {
             peers.shut_down();
         }
@@ -121,6 +126,8 @@
     )?;
     spawn_local(Rc::clone(&maintenance).follow());
     spawn_local(close_idle_connections(Rc::clone(&exchange)));
+    let body_budget = BodyBudget::new(config.memory_bytes / BODY_MEMORY_DIVISOR);
+    body_budget.metrics().register(&metrics);
     let parts = FrontParts {
         exchange,
         maintenance,
@@ -128,8 +135,7 @@
         listener_status: ListenerStatus::default(),
         peers,
         readiness,
-        listener_limits: ListenerLimits::new(limits.clients)
-            .with_body_budget(config.memory_bytes / BODY_MEMORY_DIVISOR),
+        listener_limits: ListenerLimits::new(limits.clients).with_body_budget(body_budget),
     };
     if let Some(address) = config.console {
         start_console(address, &parts)?;
--- a/src/frontend/listener.rs
+++ b/src/frontend/listener.rs
@@ -4,6 +4,7 @@
 use std::io::{self, ErrorKind};
 use std::os::fd::AsRawFd;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -40,12 +41,12 @@
 pub type ReceivedRequest = Request<Result<Bytes, StatusCode>>;
 
 /// The resources that all clients of a listener may use together.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone)]
 pub struct ListenerLimits {
     /// Maximum number of open connections, including those that are only answered with a rejection.
     max_connections: usize,
-    /// Memory in bytes for the request bodies that are buffered at the same time.
-    body_budget_bytes: usize,
+    /// Memory for the request bodies that are buffered at the same time.
+    body_budget: Arc<BodyBudget>,
 }
 
 impl ListenerLimits {
@@ -54,14 +55,14 @@
     pub fn new(max_connections: usize) -> ListenerLimits {
         ListenerLimits {
             max_connections,
-            body_budget_bytes: MAX_REQUEST_BODY,
+            body_budget: BodyBudget::new(MAX_REQUEST_BODY),
         }
     }
 
-    /// Replaces the memory for request bodies with `bytes`.
-    pub fn with_body_budget(self, bytes: usize) -> ListenerLimits {
+    /// Replaces the memory for request bodies with `body_budget`.
+    pub fn with_body_budget(self, body_budget: Arc<BodyBudget>) -> ListenerLimits {
         ListenerLimits {
-            body_budget_bytes: bytes,
+            body_budget,
             ..self
         }
     }
@@ -97,11 +98,10 @@
     /// Creates a listener that stays within `limits` and publishes its state in `status`.
     pub fn new(handler: H, limits: ListenerLimits, status: ListenerStatus) -> Listener<H> {
         let clock = ListenerClock::start();
-        let body_budget = BodyBudget::new(limits.body_budget_bytes);
         Listener {
             clock,
             connections: ConnectionTable::new(limits.max_connections, clock),
-            service: ConnectionService::new(handler, status.clone(), body_budget),
+            service: ConnectionService::new(handler, status.clone(), limits.body_budget),
             status,
         }
     }
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,5 +1,6 @@
 //! Observability of a front: log lines, a trace of decisions, and metrics.
 
+pub mod body_metrics;
 pub mod log;
 pub mod metrics;
 pub mod trace;
