Reject a request body that is longer than the memory for bodies

Cause: BodyReservation::grow admitted a single body of any length past the budget, so that a long request would not be rejected forever, and then had the budget used up for everybody else. Evidence: app_request_body_bytes was 33,554,432 with app_request_body_limit_bytes 25,165,824 (memory_mb 96).

Fix: the budget is never exceeded. A body longer than the whole budget gets 413 as soon as its length is known, also one in chunks; one that does not fit beside others gets 503 with Retry-After as before, and reserves nothing. A request without a body needs no memory, so it always fits.

--- a/src/body_budget.rs
+++ b/src/body_budget.rs
@@ -5,7 +5,8 @@
 
 use crate::telemetry::body_metrics::BodyMetrics;
 
-/// Limits the total size of the request bodies that a front buffers.
+/// Limits the total size of the request bodies that a front buffers. It is never exceeded, so that
+/// a front stays within its memory whatever its clients send.
 pub struct BodyBudget {
     max_bytes: usize,
     reserved_bytes: AtomicUsize,
@@ -26,12 +27,40 @@
     pub fn metrics(&self) -> &BodyMetrics {
         &self.metrics
     }
+
+    /// Reserves `bytes` more bytes, or none where they do not fit.
+    fn reserve(&self, bytes: usize) -> Result<(), BodyBudgetError> {
+        let max_reserved_before = self
+            .max_bytes
+            .checked_sub(bytes)
+            .ok_or(BodyBudgetError::Exhausted)?;
+        let reserved =
+            self.reserved_bytes
+                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |reserved| {
+                    (reserved <= max_reserved_before).then_some(reserved + bytes)
+                });
+        reserved.map_err(|_| BodyBudgetError::Exhausted)?;
+        self.metrics.add_reserved(bytes);
+        Ok(())
+    }
+
+    /// Returns reserved bytes to the budget.
+    fn release(&self, bytes: usize) {
+        self.reserved_bytes.fetch_sub(bytes, Ordering::Relaxed);
+        self.metrics.subtract_reserved(bytes);
+    }
 }
 
-/// The error of a reservation that would exceed its [`BodyBudget`].
+/// Why a body gets no memory of a [`BodyBudget`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the memory for request bodies is in use")]
-pub struct BodyBudgetExhausted;
+pub enum BodyBudgetError {
+    /// The body is longer than the whole budget, so that it would never fit.
+    #[error("the body is longer than the memory for request bodies")]
+    TooLong,
+    /// The other bodies leave too little memory for now.
+    #[error("the memory for request bodies is in use")]
+    Exhausted,
+}
 
 /// The bytes of one body, reserved in a [`BodyBudget`] until this value is dropped. A front keeps
 /// it with the payload that it sends.
@@ -41,14 +70,14 @@
 }
 
 impl BodyReservation {
-    /// Reserves `bytes` bytes of `budget`.
+    /// Reserves `bytes` bytes of `budget`. A body without bytes needs no memory and always fits.
     ///
     /// # Errors
-    /// Returns [`BodyBudgetExhausted`] if the other bodies leave too little memory.
+    /// Returns a [`BodyBudgetError`] if the body does not fit.
     pub fn acquire(
         budget: &Arc<BodyBudget>,
         bytes: usize,
-    ) -> Result<BodyReservation, BodyBudgetExhausted> {
+    ) -> Result<BodyReservation, BodyBudgetError> {
         let mut reservation = BodyReservation {
             budget: Arc::clone(budget),
             bytes: 0,
@@ -60,30 +89,29 @@
     /// Extends the reservation to `bytes` bytes in total. A smaller number does not shrink it.
     ///
     /// # Errors
-    /// Returns [`BodyBudgetExhausted`] if the other bodies leave too little memory.
-    pub fn grow(&mut self, bytes: usize) -> Result<(), BodyBudgetExhausted> {
+    /// Returns a [`BodyBudgetError`] if the body does not fit; the reservation then stays as it is.
+    pub fn grow(&mut self, bytes: usize) -> Result<(), BodyBudgetError> {
+        let result = self.try_grow(bytes);
+        if let Err(error) = result {
+            self.budget.metrics.count_rejection(error);
+        }
+        result
+    }
+
+    /// Extends the reservation without counting a failure.
+    fn try_grow(&mut self, bytes: usize) -> Result<(), BodyBudgetError> {
+        if bytes > self.budget.max_bytes {
+            return Err(BodyBudgetError::TooLong);
+        }
         let additional = bytes.saturating_sub(self.bytes);
-        let reserved = self
-            .budget
-            .reserved_bytes
-            .fetch_add(additional, Ordering::Relaxed)
-            + additional;
-        self.budget.metrics.add_reserved(additional);
+        self.budget.reserve(additional)?;
         self.bytes += additional;
-        // A single body always fits, so that a long request is not rejected forever.
-        if reserved > self.budget.max_bytes && reserved > self.bytes {
-            self.budget.metrics.count_exhausted();
-            return Err(BodyBudgetExhausted);
-        }
         Ok(())
     }
 }
 
 impl Drop for BodyReservation {
     fn drop(&mut self) {
-        self.budget
-            .reserved_bytes
-            .fetch_sub(self.bytes, Ordering::Relaxed);
-        self.budget.metrics.subtract_reserved(self.bytes);
+        self.budget.release(self.bytes);
     }
 }
--- a/src/frontend/body.rs
+++ b/src/frontend/body.rs
@@ -9,7 +9,7 @@
 use hyper::StatusCode;
 use tokio::time::{timeout_at, Instant};
 
-use crate::body_budget::{BodyBudget, BodyBudgetExhausted, BodyReservation};
+use crate::body_budget::{BodyBudget, BodyBudgetError, BodyReservation};
 use crate::limits::MAX_BUFFERED_BODY_BYTES;
 
 /// Maximum size of a request body in bytes.
@@ -27,8 +27,8 @@
 /// sending, so that a slow client can send a long body.
 ///
 /// # Errors
-/// Returns the status of the response: 413 for a body over [`MAX_REQUEST_BODY`], 503 where `budget`
-/// is exhausted, 400 for a malformed or truncated body, 408 for one that does not start by
+/// Returns the status of the response: 413 for a body over [`MAX_REQUEST_BODY`] or over the whole
+/// `budget`, 503 where other bodies have the budget, 400 for a malformed or truncated body, 408 for one that does not start by
 /// `start_by` or pauses for longer than [`BODY_IDLE_TIMEOUT`].
 pub(super) async fn read_body(
     mut body: Incoming,
@@ -42,7 +42,7 @@
     // The conversion loses nothing, as the check above has limited the length.
     let declared_length = declared_length as usize;
     let mut reservation =
-        BodyReservation::acquire(budget, declared_length).map_err(overload_status)?;
+        BodyReservation::acquire(budget, declared_length).map_err(rejection_status)?;
     // A client may declare a long body and send none, so at most `MAX_BUFFERED_BODY_BYTES` is
     // allocated up front.
     let mut bytes = BytesMut::with_capacity(declared_length.min(MAX_BUFFERED_BODY_BYTES));
@@ -58,7 +58,7 @@
             if length > MAX_REQUEST_BODY {
                 return Err(StatusCode::PAYLOAD_TOO_LARGE);
             }
-            reservation.grow(length).map_err(overload_status)?;
+            reservation.grow(length).map_err(rejection_status)?;
             bytes.extend_from_slice(&data);
         }
         frame_deadline = Instant::now() + BODY_IDLE_TIMEOUT;
@@ -69,7 +69,10 @@
     })
 }
 
-/// Returns the status of the response where the memory for request bodies is exhausted.
-fn overload_status(BodyBudgetExhausted: BodyBudgetExhausted) -> StatusCode {
-    StatusCode::SERVICE_UNAVAILABLE
+/// Returns the status of the response to a request whose body gets no memory.
+fn rejection_status(error: BodyBudgetError) -> StatusCode {
+    match error {
+        BodyBudgetError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyBudgetError::Exhausted => StatusCode::SERVICE_UNAVAILABLE,
+    }
 }
--- a/src/telemetry/body_metrics.rs
+++ b/src/telemetry/body_metrics.rs
@@ -3,6 +3,7 @@
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts};
 
 use super::metrics::Metrics;
+use crate::body_budget::BodyBudgetError;
 
 /// The reason why creating a metric cannot fail.
 const VALID_NAME: &str = "the name is valid";
@@ -12,6 +13,7 @@
     reserved: IntGauge,
     limit: IntGauge,
     rejected: IntCounterVec,
+    too_long: IntCounter,
     exhausted: IntCounter,
 }
 
@@ -37,6 +39,7 @@
                 "Memory reserved for request bodies",
             ),
             limit,
+            too_long: rejected.with_label_values(&["too_long"]),
             exhausted: rejected.with_label_values(&["exhausted"]),
             rejected,
         }
@@ -59,9 +62,12 @@
         self.reserved.sub(metric_value(bytes));
     }
 
-    /// Counts a body that got no memory, as the other bodies left too little.
-    pub(crate) fn count_exhausted(&self) {
-        self.exhausted.inc();
+    /// Counts a body that got no memory.
+    pub(crate) fn count_rejection(&self, error: BodyBudgetError) {
+        match error {
+            BodyBudgetError::TooLong => self.too_long.inc(),
+            BodyBudgetError::Exhausted => self.exhausted.inc(),
+        }
     }
 }
 
--- a/tests/fronts/main.rs
+++ b/tests/fronts/main.rs
@@ -3,6 +3,7 @@
 #[path = "../scenario/mod.rs"]
 mod scenario;
 
+mod body_memory;
 mod client_connections;
 mod forwarding;
 mod invalid_requests;
--- a/tests/scenario/front_process.rs
+++ b/tests/scenario/front_process.rs
@@ -13,6 +13,7 @@
 use super::discovery::Discovery;
 use super::script::{Edit, Script};
 use super::server::Server;
+use super::steps::parse_number;
 use super::Front;
 
 /// The settings of the front, as the operators' file has them.
@@ -125,6 +126,16 @@
         self.held_file_lock = None;
     }
 
+    /// The most memory that the process has had resident so far, its program file included.
+    pub fn peak_memory_kib(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.running.process.id());
+        let status = std::fs::read_to_string(path).expect("it runs");
+        let peak = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:")?.strip_suffix("kB"));
+        parse_number(peak.expect("a peak").trim())
+    }
+
     /// Sends a signal, such as `HUP`.
     pub fn signal(&self, name: &str) {
         let process_id = self.running.process.id().to_string();
--- a/tests/scenario/steps.rs
+++ b/tests/scenario/steps.rs
@@ -12,6 +12,9 @@
 use super::transcript::Transcript;
 use super::Front;
 
+/// KiB per MiB.
+const KIB_PER_MIB: u64 = 1024;
+
 /// The front under test with all parties around it.
 pub struct Scenario {
     pub(super) front: FrontProcess,
@@ -83,6 +86,7 @@
             "signal" => self.front.signal(arguments),
             "lock" => self.front.lock_held_file(),
             "unlock" => self.front.unlock_held_file(),
+            "memory" => self.check_memory(arguments),
             _ => panic!("no such step: {verb} {arguments}"),
         }
     }
@@ -119,6 +123,18 @@
         stream.shutdown(Shutdown::Write).expect("it is open");
     }
 
+    /// `at-most MIB`: how much memory the front has taken so far, at its peak.
+    fn check_memory(&mut self, arguments: &str) {
+        let limit = arguments.strip_prefix("at-most ").expect("a limit");
+        let limit_mib: u64 = parse_number(limit);
+        let peak_kib = self.front.peak_memory_kib();
+        eprintln!("peak of {peak_kib} KiB, at most {limit_mib} MiB");
+        let is_within = peak_kib <= limit_mib * KIB_PER_MIB;
+        self.transcript.line(format_args!(
+            "front: memory at most {limit_mib} MiB: {is_within}"
+        ));
+    }
+
     /// Restarts the front; its clients have to connect anew.
     fn restart_front(&mut self) {
         self.front.restart();
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -1,5 +1,6 @@
 //! Tests of single modules of the front through their public items.
 
+mod body_budget;
 mod framing;
 mod listener;
 mod range;
