Send request bodies in frames, so that no copy of a long one stays with its connection

After the budget holds, a front can still be killed, by several long bodies one after another.

Cause: the whole body went to the HTTP client as one frame. The client copies each frame into the write buffer of its connection (its socket takes no vectored writes) and keeps the capacity of that buffer while the connection is open. A body took twice its length while it was sent and once its length afterwards, unreserved, for each connection that had sent one. Evidence: 66,180 kB resident from the moment a body of 32 MB is sent, 33,408 kB after its answer with 0 bytes reserved.

Fix: RequestBody divides the body into frames of 64 KiB that share its memory, so the client's buffer stays within that and its own limit of 32 KiB. A body of up to 64 KiB goes out in one write with its head, as before. Ruled out: the growth of the buffer into which the body is read (33 MB resident until the last byte).

--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -8,8 +8,6 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper::ext::on_informational;
 use hyper::header::{HeaderName, HeaderValue, HOST};
@@ -23,6 +21,7 @@
 
 use super::open_connections::OpenSlot;
 use super::payload::{Answer, Payload};
+use super::request_body::RequestBody;
 use super::response::read_response;
 use super::wire_state::WireState;
 use crate::exchange::{AttemptReport, Withdrawal};
@@ -43,7 +42,7 @@
 
 /// A connection to a chunk server; dropping it closes the connection, even during a request.
 pub(super) struct PooledConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
     /// Drives the connection.
     task: JoinHandle<()>,
     /// File descriptor, open as long as the task runs, which is until the sender is closed.
@@ -173,13 +172,13 @@
 
 /// Drives a connection until it ends. An error surfaces in the attempt that uses the connection, so
 /// it is not reported here.
-async fn drive(connection: Connection<TokioIo<ObservedStream>, Full<Bytes>>) {
+async fn drive(connection: Connection<TokioIo<ObservedStream>, RequestBody>) {
     let _ignored = connection.await;
 }
 
 /// Builds the HTTP request of an attempt with the given deadline.
-fn build_request(payload: &Payload, deadline: Instant) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(payload.body.clone()));
+fn build_request(payload: &Payload, deadline: Instant) -> Request<RequestBody> {
+    let mut request = Request::new(RequestBody::new(payload.body.clone()));
     *request.method_mut() = payload.method.clone();
     *request.uri_mut() = payload.target.clone();
     let remaining =
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod open_connections;
 pub mod payload;
+pub mod request_body;
 mod response;
 mod server_table;
 pub mod wire_state;
--- a/tests/fronts/body_memory.rs
+++ b/tests/fronts/body_memory.rs
@@ -14,4 +14,22 @@
         send s0 200 | well
         expect c2
         send console GET /status/metrics app_request_bod";
+
+    // Guards against copies of long bodies that stay with the connections that have sent them.
+    long_bodies_take_no_memory_once_they_are_answered: Platform, 3, "
+        settings \"memory_mb\":192 => \"memory_mb\":128
+        settings \"Deadline\": 1200000000 => \"Deadline\": 9000000000
+        send c1 ${write} shard:0 X-Remaining:9000m | *33554432
+        expect s0
+        send s0 200 | first
+        expect c1
+        send c1 ${write} shard:1 X-Remaining:9000m | *33554432
+        expect s1
+        send s1 200 | second
+        expect c1
+        send c1 ${write} shard:2 X-Remaining:9000m | *33554432
+        expect s2
+        send s2 200 | third
+        expect c1
+        memory at-most 128";
 }
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -4,5 +4,6 @@
 mod framing;
 mod listener;
 mod range;
+mod request_body;
 mod settings_keys;
 mod upstream;
