Return the memory of long bodies to the system when they are answered

Seen while looking for the same cause on related paths: bodies of 64 KB to 24 MB from 16 clients for 15 s, memory_mb 48. 12.6 MB may be reserved; 25,708 kB were resident at the peak and 11,484 kB a second after the last answer. With memory_mb 192 and 40 clients: 50.3 MB may be reserved, 92,156 kB at the peak, 53,464 kB at the end.

Cause: the allocator raises the size from which a block gets a mapping of its own to that of the largest block freed so far, up to 32 MiB. After the first long body, others share one heap: its free parts stay resident, and a body that grows there is copied. Checked by setting that size from outside the process: 14,436 and 49,408 kB at the peak, 2,528 and 4,512 at the end.

Fix: the program sets the size to 128 KiB, which also stops the allocator from raising it (src/allocator.rs). Measured with it: 14,696 and 51,456 kB at the peak, 2,712 and 4,040 kB at the end. memory_of_long_bodies_is_returned_once_they_are_answered failed before (waited 10 s for 8 MiB in vain) and passes.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -11,6 +11,7 @@
 
 use clap::Parser;
 
+use crate::allocator::return_large_blocks_when_freed;
 use crate::cli::agent::{drain, restart, resume, show_status};
 use crate::cli::arguments::{Arguments, Command, DeclarationSource};
 use crate::cli::error::CliError;
@@ -26,6 +27,7 @@
 
 /// Runs the program. Any error is logged as one line and ends the program with exit code 2.
 pub fn main() -> ExitCode {
+    return_large_blocks_when_freed();
     match run(Arguments::parse().command) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`tulipbridge_core`], which does no I/O. This crate adds the sockets, the configuration and the
 //! commands.
 
+mod allocator;
 pub mod body_budget;
 pub mod cli;
 pub mod cluster;
--- a/tests/fronts/body_memory.rs
+++ b/tests/fronts/body_memory.rs
@@ -32,4 +32,30 @@
         send s2 200 | third
         expect c1
         memory at-most 128";
+
+    // Guards against bodies that stay resident once they are answered, since the allocator keeps
+    // what long ones have freed: the program has 8 MB beside the memory for bodies.
+    memory_of_long_bodies_is_returned_once_they_are_answered: Platform, 4, "
+        settings \"Deadline\": 1200000000 => \"Deadline\": 9000000000
+        send c1 ${write} shard:0 X-Remaining:9000m | *16000000
+        expect s0
+        send s0 200 | first
+        expect c1
+        send c1 ${write} shard:0 X-Remaining:9000m | *12000000
+        expect s0
+        send c2 ${write} shard:1 X-Remaining:9000m | *12000000
+        expect s1
+        send c3 ${write} shard:2 X-Remaining:9000m | *12000000
+        expect s2
+        send c4 ${write} shard:3 X-Remaining:9000m | *200000
+        expect s3
+        send s0 200 | second
+        expect c1
+        send s1 200 | third
+        expect c2
+        send s2 200 | fourth
+        expect c3
+        await memory at-most 8
+        send s3 200 | fifth
+        expect c4";
 }
--- a/tests/scenario/conditions.rs
+++ b/tests/scenario/conditions.rs
@@ -3,7 +3,7 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use super::steps::{parse_number, Scenario};
+use super::steps::{parse_number, Scenario, KIB_PER_MIB};
 use super::{pause, SLOW_POLL_INTERVAL, STEP_TIMEOUT};
 
 impl Scenario {
@@ -41,13 +41,16 @@
         );
     }
 
-    /// `ready`, `held TEXT` or a line of the metrics.
+    /// `ready`, `held TEXT`, `memory at-most MIB` or a line of the metrics.
     pub(super) fn await_condition(&self, condition: &str) {
         if condition == "ready" {
             self.poll("a ready front", || self.clients.is_front_ready());
         } else if let Some(text) = condition.strip_prefix("held ") {
             let what = format!("a file that holds {text}");
             self.poll(&what, || self.front.held_file().contains(text));
+        } else if let Some(limit) = condition.strip_prefix("memory at-most ") {
+            let limit_kib = parse_number::<u64>(limit) * KIB_PER_MIB;
+            self.poll(condition, || self.front.own_memory_kib() <= limit_kib);
         } else {
             let what = format!("the metric '{condition}'");
             self.poll(&what, || self.has_metric(condition));
--- a/tests/scenario/front_process.rs
+++ b/tests/scenario/front_process.rs
@@ -128,12 +128,22 @@
 
     /// The most memory that the process has had resident so far, its program file included.
     pub fn peak_memory_kib(&self) -> u64 {
+        self.status_kib("VmHWM:")
+    }
+
+    /// The memory that the process has resident now, without its program file.
+    pub fn own_memory_kib(&self) -> u64 {
+        self.status_kib("RssAnon:")
+    }
+
+    /// A line of the process's status that is in KiB.
+    fn status_kib(&self, name: &str) -> u64 {
         let path = format!("/proc/{}/status", self.running.process.id());
         let status = std::fs::read_to_string(path).expect("it runs");
-        let peak = status
+        let value = status
             .lines()
-            .find_map(|line| line.strip_prefix("VmHWM:")?.strip_suffix("kB"));
-        parse_number(peak.expect("a peak").trim())
+            .find_map(|line| line.strip_prefix(name)?.strip_suffix("kB"));
+        parse_number(value.expect("the line").trim())
     }
 
     /// Sends a signal, such as `HUP`.
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -35,6 +35,8 @@
 //! - `restart`: the front is killed and started again, with the same file and folder; its clients
 //!   have to connect anew
 //! - `memory at-most 48`: whether the front has never had more than so many MiB resident
+//! - `await memory at-most 8`: until the front has at most so many MiB resident, its program file
+//!   not counted
 //! - `await held TEXT`: until the front's file of servers in maintenance holds that text
 //! - `lock held`, `unlock held`: another process has the lock on that file, or gives it back
 //! - `await ready`: until the front answers `GET /health/ready` with 200
--- a/tests/scenario/steps.rs
+++ b/tests/scenario/steps.rs
@@ -13,7 +13,7 @@
 use super::Front;
 
 /// KiB per MiB.
-const KIB_PER_MIB: u64 = 1024;
+pub const KIB_PER_MIB: u64 = 1024;
 
 /// The front under test with all parties around it.
 pub struct Scenario {
