Give request bodies half of the memory less 8 MB, now that each takes its length once

What callers saw: since the budget holds, one body of 32 MB is rejected at each front with memory_mb under 128, though it took its length once and would fit from 80 on.

Cause: the budget of a quarter was from when a body was held twice. Change: half of memory less 8 MB for the program, at least an eighth; the limit of connections counts one buffered response for each, which is the other half.

Measured: body_that_half_of_the_memory_holds_is_served failed before (no request came to the server) and passes.

--- a/src/front/assembly.rs
+++ b/src/front/assembly.rs
@@ -37,8 +37,10 @@
 const _: () = assert!(console::MAX_CONNECTIONS <= RESERVED_DESCRIPTORS / 2);
 /// The minimum number of connections, whatever the limits of the process.
 const MIN_CONNECTIONS: usize = 32;
-/// The share of the process's memory that request bodies may take is one divided by this.
-const BODY_MEMORY_DIVISOR: usize = 4;
+/// Memory in bytes that the program takes beside bodies and connections.
+const PROGRAM_MEMORY_BYTES: usize = 8 << 20;
+/// One divided by this is the share of the process's memory that request bodies may always take.
+const MIN_BODY_MEMORY_DIVISOR: usize = 8;
 /// The interval at which idle connections to chunk servers are closed.
 const IDLE_CLOSE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -126,7 +128,7 @@
     )?;
     spawn_local(Rc::clone(&maintenance).follow());
     spawn_local(close_idle_connections(Rc::clone(&exchange)));
-    let body_budget = BodyBudget::new(config.memory_bytes / BODY_MEMORY_DIVISOR);
+    let body_budget = BodyBudget::new(request_body_memory(config.memory_bytes));
     body_budget.metrics().register(&metrics);
     let parts = FrontParts {
         exchange,
@@ -165,6 +167,15 @@
     }
 }
 
+/// Returns how much of the process's memory request bodies may take. [`ConnectionLimits`] counts one
+/// buffered response for each connection, which takes half of the memory; the program itself and
+/// the request bodies share the other half.
+fn request_body_memory(memory_bytes: usize) -> usize {
+    let half = memory_bytes / 2;
+    half.saturating_sub(PROGRAM_MEMORY_BYTES)
+        .max(memory_bytes / MIN_BODY_MEMORY_DIVISOR)
+}
+
 /// Joins the front's peers; returns `None` where the configuration names none.
 fn join_peers(
     config: &Config,
--- a/tests/fronts/body_memory.rs
+++ b/tests/fronts/body_memory.rs
@@ -58,4 +58,16 @@
         await memory at-most 8
         send s3 200 | fifth
         expect c4";
+
+    // Guards against long bodies that are rejected although half of the memory holds them.
+    body_that_half_of_the_memory_holds_is_served: Platform, 1, "
+        settings \"memory_mb\":192 => \"memory_mb\":80
+        settings \"Deadline\": 1200000000 => \"Deadline\": 9000000000
+        send c1 ${write} X-Remaining:9000m | *33554432
+        expect s0
+        send c2 GET /health/live
+        expect c2
+        send s0 200 | stored
+        expect c1
+        memory at-most 80";
 }
