--- a/src/control/console/mod.rs
+++ b/src/control/console/mod.rs
@@ -41,7 +41,7 @@
 use crate::control::maintenance_call::{MaintenanceAction, MaintenanceCall};
 use crate::exchange::Exchange;
 use crate::frontend::listener_status::ListenerStatus;
-use crate::socket_io::Socket;
+use crate::socket_io::{disable_nagle, Socket};
 use crate::telemetry::log::log;
 use crate::telemetry::metrics::{GaugeReadings, Metrics};
 use crate::upstream::Upstream;
@@ -118,7 +118,7 @@
 
     /// Serves the one call of a connection, within [`CALL_TIMEOUT`].
     async fn serve_call(self: Rc<Self>, stream: TcpStream) {
-        ignore_delayed_segments(stream.set_nodelay(true));
+        disable_nagle(&stream);
         let console = &self;
         let service = service_fn(move |request| async move {
             let response = console.handle_call(request).await;
@@ -208,9 +208,6 @@
     }
 }
 
-/// Discards an error of setting `TCP_NODELAY`: without it the response is only slower.
-fn ignore_delayed_segments(_outcome: io::Result<()>) {}
-
 /// Discards the error of a broken connection: there is nobody left to report it to.
 fn ignore_disconnected_operator(_outcome: Result<(), hyper::Error>) {}
 
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -3,6 +3,7 @@
 pub mod assembly;
 pub mod discovery_address;
 pub mod error;
+mod resource_limits;
 
 use std::cell::RefCell;
 use std::rc::Rc;
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -25,7 +25,7 @@
 use super::response::read_response;
 use super::wire_state::WireState;
 use crate::exchange::{AttemptReport, Withdrawal};
-use crate::socket_io;
+use crate::socket_io::{self, disable_nagle};
 
 /// Size of hyper's read buffer in bytes; a longer response head is an error.
 const MAX_BUFFER_BYTES: usize = 32 * 1024;
@@ -164,12 +164,6 @@
     }
 }
 
-/// Disables Nagle's algorithm, which would delay a request that takes two writes. A failure costs
-/// only time, so it is not reported.
-fn disable_nagle(stream: &TcpStream) {
-    let _ignored = stream.set_nodelay(true);
-}
-
 /// Drives a connection until it ends. An error surfaces in the attempt that uses the connection, so
 /// it is not reported here.
 async fn drive(connection: Connection<TokioIo<ObservedStream>, RequestBody>) {
