End a long answer with its client, or when its chunk server has been silent for 8 s

Cause: BodyCopy::forward_all waited for the next frame without a limit, and noticed that the client had gone only when it had a frame to pass on; each such task held a connection, 102 of them all connections to chunk servers.

Fix: the response reads the server's connection itself (ForwardedBody), so that it ends with its client; a body whose server sends nothing for 8 s while a frame is awaited is given up, and its client can tell. Not done: a share of the connections that one server may take at most.

--- a/src/frontend/mod.rs
+++ b/src/frontend/mod.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod connection;
 mod connection_table;
+mod forwarded_body;
 mod framed_socket;
 pub mod framing;
 mod lingering_close;
--- a/src/frontend/replies.rs
+++ b/src/frontend/replies.rs
@@ -11,6 +11,7 @@
 use hyper::{Method, Response, StatusCode};
 
 use crate::control::readiness::Readiness;
+use crate::frontend::forwarded_body::ForwardedBody;
 
 /// Path of the readiness check: whether new requests may be sent to this front.
 const READY_PATH: &str = "/health/ready";
@@ -19,8 +20,12 @@
 /// `Retry-After` of a rejection by the listener, before a request reaches the handler.
 const REJECTION_RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// A response to a client, with a body that is either complete or streamed.
-pub type Reply = Response<Either<Full<Bytes>, Channel<Bytes, io::Error>>>;
+/// A body that is either complete or streamed: in pieces that several requests read, or from one
+/// chunk server as it arrives.
+pub type ReplyBody = Either<Full<Bytes>, Either<Channel<Bytes, io::Error>, ForwardedBody>>;
+
+/// A response to a client.
+pub type Reply = Response<ReplyBody>;
 
 /// Returns a response with a short plain-text body.
 pub fn plain(status: StatusCode, text: impl Into<Bytes>) -> Reply {
--- a/src/object/get.rs
+++ b/src/object/get.rs
@@ -73,7 +73,7 @@
     *reply.body_mut() = if received.end == selected.end {
         Either::Left(Full::new(piece.answer.body))
     } else {
-        Either::Right(read.stream(piece, selected.end))
+        Either::Right(Either::Left(read.stream(piece, selected.end)))
     };
     Ok(reply)
 }
--- a/tests/fronts/server_responses.rs
+++ b/tests/fronts/server_responses.rs
@@ -17,6 +17,24 @@
         send s0 raw ICY 200 OK\\r\\nContent-Length: 4\\r\\n\\r\\nwell
         expect c1";
 
+    // Guards against connections that a hung server keeps for good: the client of a long response
+    // leaves while the server is silent.
+    stopped_response_of_a_client_that_left_frees_its_connection: Platform, 1, "
+        send c1 GET /api
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\nContent-Length: 200000\\r\\n\\r\\nand no more
+        wait 300
+        close c1
+        expect s0 raw left";
+
+    // Guards against the same while the client waits on.
+    stopped_response_is_given_up_although_its_client_stays: Platform, 1, "
+        send c1 GET /api
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\nContent-Length: 200000\\r\\n\\r\\nand no more
+        expect c1
+        expect s0 raw left";
+
     stalled_response_leaves_time_for_a_retry: Platform, 1, "
         send c1 GET /api
         expect s0
--- a/tests/scenario/messages.rs
+++ b/tests/scenario/messages.rs
@@ -3,7 +3,7 @@
 use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
-use super::connection::Message;
+use super::connection::{Connection, Message};
 use super::party::Party;
 use super::steps::{parse_number, Scenario};
 use super::{pause, POLL_INTERVAL, STEP_TIMEOUT};
@@ -119,10 +119,15 @@
         }
     }
 
-    /// `left`, `told-at-most MILLISECONDS` or `[HEADER]`.
+    /// `left`, `raw left`, `told-at-most MILLISECONDS` or `[HEADER]`.
     fn expect_at_server(&mut self, server: &str, rest: &str) {
         if rest == "left" {
-            return self.expect_abandoned(server);
+            let connection = self.server(server).take_oldest();
+            return self.expect_abandoned(server, connection);
+        }
+        if rest == "raw left" {
+            let connection = self.server(server).take_raw_answered();
+            return self.expect_abandoned(server, connection);
         }
         if let Some(limit_ms) = rest.strip_prefix("told-at-most ") {
             return self.expect_remaining_time(server, parse_number(limit_ms));
@@ -150,9 +155,9 @@
         ));
     }
 
-    /// Expects that the front closes the connection of a server's oldest request.
-    fn expect_abandoned(&mut self, server: &str) {
-        let result = self.server(server).take_oldest().read_message();
+    /// Expects that the front closes a connection to a server.
+    fn expect_abandoned(&mut self, server: &str, mut connection: Connection) {
+        let result = connection.read_message();
         let is_closed = result.is_err_and(|error| error.kind() != ErrorKind::WouldBlock);
         self.transcript
             .line(format_args!("{server} left alone: {is_closed}"));
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -12,7 +12,8 @@
 //!   many milliseconds
 //! - `flood d 3000`: so many messages on the watch that are no lists, each of which the front logs;
 //!   nobody reads the log
-//! - `expect s0 left`: the front closes the connection of the oldest request at the server
+//! - `expect s0 left`: the front closes the connection of the oldest request at the server;
+//!   `expect s0 raw left`: that of the oldest `raw` answer
 //! - `send s0 200 Name:value .. | body`: answers the oldest request at the server (`part` truncates
 //!   the body; `raw` sends bytes, and the connection is not used any more; `unasked` sends bytes on
 //!   connections without a request)
