--- a/crates/core/src/connection_pool.rs
+++ b/crates/core/src/connection_pool.rs
@@ -11,8 +11,6 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct ConnectionPool<C> {
     idle_timeout: Nanos,
-    /// How long a connection stays idle after a response before it is reused.
-    reuse_delay: Nanos,
     max_connections: usize,
     nodes: BTreeMap<NodeId, NodeConnections<C>>,
 }
@@ -57,22 +55,11 @@
     pub fn new(idle_timeout: Nanos, max_connections: usize) -> ConnectionPool<C> {
         ConnectionPool {
             idle_timeout,
-            reuse_delay: 0,
             max_connections,
             nodes: BTreeMap::new(),
         }
     }
 
-    /// Has connections reused no earlier than `reuse_delay` after their last response. A second
-    /// response to the same request, which the server sends by mistake, then arrives while the
-    /// connection is idle, and cannot be mistaken for the response to the next request.
-    pub fn with_reuse_delay(self, reuse_delay: Nanos) -> ConnectionPool<C> {
-        ConnectionPool {
-            reuse_delay,
-            ..self
-        }
-    }
-
     /// Adds a node. Does nothing if the pool has it already.
     pub fn add(&mut self, node: NodeId) {
         self.nodes.entry(node).or_insert(NodeConnections {
@@ -109,9 +96,9 @@
             .map(|connections| connections.address_epoch)
     }
 
-    /// Takes the most recently used connection that is past the reuse delay, within the idle timeout
-    /// and quiet, and the unusable ones that are found before it. `is_quiet` returns whether the
-    /// socket holds no unexpected bytes.
+    /// Takes the most recently used connection that is within the idle timeout and quiet, and the
+    /// unusable ones that are found before it. `is_quiet` returns whether the socket holds no
+    /// unexpected bytes.
     pub fn take(
         &mut self,
         node: NodeId,
@@ -125,7 +112,7 @@
         let Some(connections) = self.nodes.get_mut(&node) else {
             return taken;
         };
-        while let Some(idle) = connections.pop_idle_since(now - self.reuse_delay) {
+        while let Some(idle) = connections.idle.pop() {
             let idle_time = now - idle.idle_since;
             let fresh = idle_time < self.idle_timeout || mutated(Mutation::IdleTimeoutIgnored);
             if fresh && is_quiet(&idle.connection) {
@@ -205,16 +192,6 @@
     }
 }
 
-impl<C> NodeConnections<C> {
-    /// Removes and returns the most recently used connection that has been idle since `latest` or
-    /// longer.
-    fn pop_idle_since(&mut self, latest: Nanos) -> Option<IdleConnection<C>> {
-        let count = self.idle.partition_point(|idle| idle.idle_since <= latest);
-        let index = count.checked_sub(1)?;
-        Some(self.idle.remove(index))
-    }
-}
-
 /// Returns the handles of idle connections, in the same order.
 fn handles<C>(idle: Vec<IdleConnection<C>>) -> Vec<C> {
     idle.into_iter().map(|idle| idle.connection).collect()
--- a/src/upstream/connections.rs
+++ b/src/upstream/connections.rs
@@ -16,9 +16,6 @@
 
 /// Fraction of the servers' idle timeout after which this side closes an idle connection.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.8;
-/// Time that a connection stays idle after a response before it is reused: a server may send a
-/// second response by mistake, some milliseconds after the first.
-const REUSE_DELAY: Duration = Duration::from_millis(20);
 
 /// The chunk servers and the connections to them.
 pub(super) struct Connections {
@@ -39,13 +36,15 @@
         max_connections: usize,
     ) -> Connections {
         let idle_timeout = server_idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION);
-        let pool = ConnectionPool::new(idle_timeout.as_nanos() as Nanos, max_connections);
         Connections {
             dial_timeout,
             started: Instant::now(),
             open: OpenConnections::default(),
             servers: RefCell::default(),
-            pool: RefCell::new(pool.with_reuse_delay(REUSE_DELAY.as_nanos() as Nanos)),
+            pool: RefCell::new(ConnectionPool::new(
+                idle_timeout.as_nanos() as Nanos,
+                max_connections,
+            )),
         }
     }
 
