--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -33,13 +33,13 @@
         agent.wait_for_fronts(&[ready("a", 2, 1), ready("b", 1, 0)])[1],
         pids[1]
     );
-    assert!(agent.run(&["drain", "a"]).status.success());
+    agent.run_successfully(&["drain", "a"]);
     agent.wait_for_fronts(&[drained("a", 2, 1), ready("b", 1, 0)]);
     // Without names, all fronts that are not drained are restarted.
-    assert!(agent.run(&["restart"]).status.success());
+    agent.run_successfully(&["restart"]);
     agent.wait_for_fronts(&[drained("a", 2, 1), ready("b", 2, 0)]);
-    assert!(agent.run(&["resume", "a"]).status.success());
-    assert!(agent.run(&["restart", "a"]).status.success());
+    agent.run_successfully(&["resume", "a"]);
+    agent.run_successfully(&["restart", "a"]);
     agent.wait_for_fronts(&[ready("a", 4, 1), ready("b", 2, 0)]);
     let unknown = agent.run(&["drain", "c"]);
     assert_eq!(unknown.status.code(), Some(2));
--- a/tests/agent/running.rs
+++ b/tests/agent/running.rs
@@ -86,6 +86,17 @@
             .expect("it runs")
     }
 
+    /// Runs a command that calls the agent and must succeed.
+    pub fn run_successfully(&self, arguments: &[&str]) {
+        let output = self.run(arguments);
+        assert!(
+            output.status.success(),
+            "{arguments:?}: {}, {}",
+            output.status,
+            String::from_utf8_lossy(&output.stderr)
+        );
+    }
+
     /// Waits until the status table has exactly these rows. Returns the process ids of the fronts,
     /// in the same order.
     pub fn wait_for_fronts(&self, expected: &[FrontRow]) -> Vec<String> {
