Reject a long body at the object front before it is sent

Cause: the listener had one limit for all handlers, and the object front looked at the length of the body that it was given.

Measured: long_object_is_rejected_before_it_is_sent got RequestTimeout after 2.7 s before, and EntityTooLarge at once now. Tests of fronts, golden and races pass.

--- a/src/frontend/connection.rs
+++ b/src/frontend/connection.rs
@@ -17,7 +17,7 @@
 use tokio::sync::watch;
 use tulipbridge_core::client_connection::ClientEvent;
 
-use super::body::{read_body, ReceivedBody};
+use super::body::{read_body, BodyLimits, ReceivedBody};
 use super::client_state::ClientState;
 use super::connection_table::{Admission, Registration};
 use super::framed_socket::FramedSocket;
@@ -166,7 +166,11 @@
         if let Some(status) = client.framing_error() {
             return Err(status);
         }
-        let received = read_body(body, client.request_deadline(), &self.body_budget).await;
+        let limits = BodyLimits {
+            max_bytes: self.handler.max_body_bytes(),
+            start_by: client.request_deadline(),
+        };
+        let received = read_body(body, limits, &self.body_budget).await;
         // Excess data after the request is detected only once the body is complete.
         client.framing_error().map_or(received, Err)
     }
--- a/src/frontend/listener.rs
+++ b/src/frontend/listener.rs
@@ -80,6 +80,12 @@
 
     /// Returns the longest deadline that a request may have, which bounds the time of a shutdown.
     fn longest_deadline(&self) -> Duration;
+
+    /// Returns the maximum length of a request body. A longer one is rejected as soon as its length
+    /// is known, without being read.
+    fn max_body_bytes(&self) -> usize {
+        MAX_REQUEST_BODY
+    }
 }
 
 /// Accepts client connections and passes their requests to a [`Handler`].
--- a/src/object/error.rs
+++ b/src/object/error.rs
@@ -64,8 +64,7 @@
         )
     }
 
-    /// Creates the error for a request body that was rejected with `status`, by the listener or for
-    /// its length.
+    /// Creates the error for a request body that the listener rejected with `status`.
     pub fn rejected_body(status: StatusCode) -> ApiError {
         let (code, message) = match status {
             StatusCode::PAYLOAD_TOO_LARGE => {
--- a/src/object/front.rs
+++ b/src/object/front.rs
@@ -3,9 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
-use hyper::{Method, StatusCode};
+use hyper::Method;
 
 use super::config::Config;
 use super::delete::delete;
@@ -42,6 +41,11 @@
         self.client.exchange().longest_deadline()
     }
 
+    /// Larger objects must be uploaded in parts.
+    fn max_body_bytes(&self) -> usize {
+        MAX_BUFFERED_BODY_BYTES
+    }
+
     async fn answer(&self, request: ReceivedRequest, shutting_down: bool) -> Reply {
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
@@ -80,9 +84,7 @@
     /// Executes the operation that a request selects.
     async fn serve(&self, request: ReceivedRequest) -> Result<Reply, ApiError> {
         let (head_parts, body) = request.into_parts();
-        let body = body
-            .and_then(check_length)
-            .map_err(ApiError::rejected_body)?;
+        let body = body.map_err(ApiError::rejected_body)?;
         let method = head_parts.method;
         let request = self
             .parser
@@ -100,12 +102,3 @@
         }
     }
 }
-
-/// Rejects bodies of more than [`MAX_BUFFERED_BODY_BYTES`] bytes; larger objects must be uploaded in parts.
-fn check_length(body: Bytes) -> Result<Bytes, StatusCode> {
-    if body.len() > MAX_BUFFERED_BODY_BYTES {
-        Err(StatusCode::PAYLOAD_TOO_LARGE)
-    } else {
-        Ok(body)
-    }
-}
--- a/tests/fronts/body_memory.rs
+++ b/tests/fronts/body_memory.rs
@@ -70,4 +70,9 @@
         send s0 200 | stored
         expect c1
         memory at-most 80";
+
+    // Guards against long objects that take the memory of others before they are rejected.
+    long_object_is_rejected_before_it_is_sent: Object, 1, "
+        send c1 raw PUT /photos/a HTTP/1.1\\r\\nHost: t\\r\\nContent-Length: 65537\\r\\n\\r\\n
+        expect c1";
 }
