Simplify the reservation of body memory

Found when the change was read again: the reservation checked the same bound twice, and a name said only that it tries. One check of the sum, and extend in place of try_grow.

--- a/src/body_budget.rs
+++ b/src/body_budget.rs
@@ -28,18 +28,13 @@
         &self.metrics
     }
 
-    /// Reserves `bytes` more bytes, or none where they do not fit.
+    /// Reserves `bytes` more bytes, at most as many as the budget has, or none where they do not fit.
     fn reserve(&self, bytes: usize) -> Result<(), BodyBudgetError> {
-        let max_reserved_before = self
-            .max_bytes
-            .checked_sub(bytes)
-            .ok_or(BodyBudgetError::Exhausted)?;
-        let reserved =
-            self.reserved_bytes
-                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |reserved| {
-                    (reserved <= max_reserved_before).then_some(reserved + bytes)
-                });
-        reserved.map_err(|_| BodyBudgetError::Exhausted)?;
+        let max_bytes = self.max_bytes;
+        let add = |reserved: usize| Some(reserved + bytes).filter(|sum| *sum <= max_bytes);
+        self.reserved_bytes
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add)
+            .map_err(|_| BodyBudgetError::Exhausted)?;
         self.metrics.add_reserved(bytes);
         Ok(())
     }
@@ -91,15 +86,12 @@
     /// # Errors
     /// Returns a [`BodyBudgetError`] if the body does not fit; the reservation then stays as it is.
     pub fn grow(&mut self, bytes: usize) -> Result<(), BodyBudgetError> {
-        let result = self.try_grow(bytes);
-        if let Err(error) = result {
-            self.budget.metrics.count_rejection(error);
-        }
-        result
+        let result = self.extend(bytes);
+        result.inspect_err(|error| self.budget.metrics.count_rejection(*error))
     }
 
     /// Extends the reservation without counting a failure.
-    fn try_grow(&mut self, bytes: usize) -> Result<(), BodyBudgetError> {
+    fn extend(&mut self, bytes: usize) -> Result<(), BodyBudgetError> {
         if bytes > self.budget.max_bytes {
             return Err(BodyBudgetError::TooLong);
         }
