--- a/review/6/case.py
+++ b/review/6/case.py
@@ -24,7 +24,7 @@
 COPY_SHARE = 0.05
 # The work of a read; the pages give 13 to 21 ms in the mean.
 WORK_S = 0.015
-REQUESTS_PER_S = 90
+REQUESTS_PER_S = 120
 LENGTH_S = 40
 
 
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -49,7 +49,10 @@
 
     def say(self, text):
         self(text)
-        print(text, flush=True)
+        try:
+            print(text, flush=True)
+        except OSError:
+            pass  # nobody reads the output; the record has it
 
 
 def free_port():
