--- a/review/6/case.py
+++ b/review/6/case.py
@@ -31,7 +31,7 @@
 BODIES = 34
 LONG_BODY = 1_230_000
 SEND_PER_S = 64_000
-TROUBLE_S = 24.0
+TROUBLE_S = 36.0
 # A chunk server's work, and how it stands still.
 WORK_S = {"PUT": 0.025, "GET": 0.055}
 STILL_S = 0.15
