Wait for long answers under way when a front is told to end

Cause: GracefulShutdown exits at one time, whatever is still open. It is the time by which every request has its answer begun, and was also the limit for the end of the answer.

Change: a client connection knows when the system last accepted bytes of its response. A response of which something was accepted within the last 8 s, as long as a silent chunk server is waited for, keeps the process from exiting; only SIGKILL truncates it.

--- a/crates/core/src/client_connection.rs
+++ b/crates/core/src/client_connection.rs
@@ -20,6 +20,9 @@
 const MIN_SILENT_AGE: Nanos = 100 * MILLISECOND;
 /// The minimum age of an incomplete request at which its connection may be evicted.
 const MIN_PARTIAL_AGE: Nanos = 500 * MILLISECOND;
+/// A response of which the client has accepted nothing for this long is no longer under way. A chunk
+/// server may pause for as long while it writes a long answer.
+const DELIVERY_STALL_TIMEOUT: Nanos = 8_000 * MILLISECOND;
 /// A connection that was accepted within this time is expected to send a request.
 const NEW_CONNECTION_GRACE: Nanos = 150 * MILLISECOND;
 
@@ -49,6 +52,8 @@
     BodyStarted,
     /// A request is complete.
     RequestReceived,
+    /// The system accepted bytes of the response.
+    ResponseWritten,
     /// The response was handed to the socket, or abandoned.
     Answered,
     /// This side has ended the connection.
@@ -62,6 +67,8 @@
     /// When the phase began; for a body, when its head began.
     since: Nanos,
     connected_at: Nanos,
+    /// When the system last accepted bytes of the current response; `None` before its first byte.
+    response_written_at: Option<Nanos>,
     /// Whether any request on the connection was answered.
     has_been_answered: bool,
 }
@@ -73,6 +80,7 @@
             phase: Phase::New,
             since: now,
             connected_at: now,
+            response_written_at: None,
             has_been_answered: false,
         }
     }
@@ -98,9 +106,15 @@
             ClientEvent::HeadStarted => Phase::ReadingHead,
             ClientEvent::BodyStarted => Phase::ReadingBody,
             ClientEvent::RequestReceived => Phase::Responding,
+            ClientEvent::ResponseWritten => self.phase,
             ClientEvent::Answered => Phase::Idle,
             ClientEvent::Closing => Phase::Closing,
         };
+        match event {
+            ClientEvent::RequestReceived => self.response_written_at = None,
+            ClientEvent::ResponseWritten => self.response_written_at = Some(now),
+            _ => {}
+        }
         let restarts = phase != Phase::ReadingBody || mutated(Mutation::BodyRestartsTimeout);
         if restarts && phase != self.phase {
             self.since = now;
@@ -161,6 +175,20 @@
             || matches!(self.phase, Phase::Responding | Phase::Closing)
     }
 
+    /// Returns whether a response is under way: it has begun, the system has not accepted all of it,
+    /// and the client keeps reading. `unflushed_response` means that bytes of a response whose body
+    /// is complete wait to be written.
+    pub fn is_delivering(&self, now: Nanos, unflushed_response: bool) -> bool {
+        let is_incomplete = match self.phase {
+            Phase::Responding => true,
+            Phase::Idle => unflushed_response,
+            Phase::New | Phase::ReadingHead | Phase::ReadingBody | Phase::Closing => false,
+        };
+        let written_at = self.response_written_at;
+        is_incomplete
+            && written_at.is_some_and(|written_at| now - written_at < DELIVERY_STALL_TIMEOUT)
+    }
+
     /// Returns whether a connection that is due to close may be closed now without losing a request
     /// that has arrived in the meantime. A request that keeps arriving in pieces delays the close
     /// only for a limited time.
--- a/crates/core/src/graceful_shutdown.rs
+++ b/crates/core/src/graceful_shutdown.rs
@@ -19,11 +19,13 @@
 const KILL_GRACE: Nanos = 700 * MILLISECOND;
 /// The minimum time before the kill at which every accepted request is answered.
 const ANSWER_MARGIN: Nanos = 250 * MILLISECOND;
-/// The minimum time before the kill at which the process exits, whatever is still open.
+/// The minimum time before the kill at which the process exits, unless a response is under way.
 const EXIT_MARGIN: Nanos = 100 * MILLISECOND;
 /// The maximum time until every accepted request is answered, however late the kill comes.
 const MAX_ANSWER_TIME: Nanos = 3_100 * MILLISECOND;
-/// The maximum time until the process exits, however late the kill comes.
+/// The maximum time until the process exits, however late the kill comes, unless a response is under
+/// way: a long one may take longer than the deadline of its request, and only the kill may truncate
+/// it.
 const MAX_EXIT_TIME: Nanos = 3_400 * MILLISECOND;
 /// How often the front checks whether it may exit.
 const POLL_INTERVAL: Nanos = 20 * MILLISECOND;
@@ -68,6 +70,12 @@
         /// [`ClientConnection::has_pending_work`]:
         /// crate::client_connection::ClientConnection::has_pending_work
         busy: usize,
+        /// The number of those whose response is under way, see
+        /// [`ClientConnection::is_delivering`].
+        ///
+        /// [`ClientConnection::is_delivering`]:
+        /// crate::client_connection::ClientConnection::is_delivering
+        delivering: usize,
     },
 }
 
@@ -123,8 +131,16 @@
             (Stage::Accepting, ShutdownEvent::Accepted) => self.accept_or_stop(now, false),
             (Stage::Accepting, ShutdownEvent::AcceptTimedOut) => self.accept_or_stop(now, true),
             (Stage::Accepting, ShutdownEvent::Poll { .. }) => ShutdownStep::Accept(ACCEPT_QUIET),
-            (Stage::Draining, ShutdownEvent::Poll { connections, busy }) => {
-                self.poll(now, connections, busy)
+            (
+                Stage::Draining,
+                ShutdownEvent::Poll {
+                    connections,
+                    busy,
+                    delivering,
+                },
+            ) => {
+                self.count_quiet_poll(busy);
+                self.exit_or_wait(now, connections, delivering)
             }
             (Stage::Draining, _) => ShutdownStep::Wait(POLL_INTERVAL),
             (Stage::Finished, _) => ShutdownStep::Exit,
@@ -141,10 +157,15 @@
         }
     }
 
-    fn poll(&mut self, now: Nanos, connections: usize, busy: usize) -> ShutdownStep {
+    fn count_quiet_poll(&mut self, busy: usize) {
         let quiet = busy == 0 || mutated(Mutation::ExitsWithOpenRequests);
         self.quiet_polls = if quiet { self.quiet_polls + 1 } else { 0 };
-        if connections == 0 || self.quiet_polls > QUIET_POLLS_TO_EXIT || now >= self.exit_deadline {
+    }
+
+    fn exit_or_wait(&mut self, now: Nanos, connections: usize, delivering: usize) -> ShutdownStep {
+        let all_done = connections == 0 || self.quiet_polls > QUIET_POLLS_TO_EXIT;
+        let time_is_up = now >= self.exit_deadline && delivering == 0;
+        if all_done || time_is_up {
             self.stage = Stage::Finished;
             ShutdownStep::Exit
         } else {
--- a/crates/core/tests/client_connection.rs
+++ b/crates/core/tests/client_connection.rs
@@ -78,3 +78,45 @@
         "a request that keeps arriving in pieces does not prevent the close"
     );
 }
+
+#[test]
+fn response_is_under_way_until_it_is_written_or_its_client_stops_reading() {
+    use ClientEvent::{Answered, Closing, HeadStarted, RequestReceived, ResponseWritten};
+    let begun = [HeadStarted, RequestReceived, ResponseWritten];
+    let answered = [HeadStarted, RequestReceived, ResponseWritten, Answered];
+    let closing = [
+        HeadStarted,
+        RequestReceived,
+        ResponseWritten,
+        Answered,
+        Closing,
+    ];
+    let next_request = [
+        HeadStarted,
+        RequestReceived,
+        ResponseWritten,
+        RequestReceived,
+    ];
+    for (name, connection, now, unflushed, delivering) in [
+        ("begun", after(&begun), 7_999 * MS, false, true),
+        ("stalled", after(&begun), 8_000 * MS, false, false),
+        ("unanswered", after(&begun[..2]), 0, false, false),
+        ("answered next", after(&next_request), 0, false, false),
+        ("unflushed", after(&answered), 7_999 * MS, true, true),
+        (
+            "unflushed, stalled",
+            after(&answered),
+            8_000 * MS,
+            true,
+            false,
+        ),
+        ("written", after(&answered), 0, false, false),
+        ("closing", after(&closing), 0, true, false),
+    ] {
+        assert_eq!(
+            connection.is_delivering(now, unflushed),
+            delivering,
+            "{name}"
+        );
+    }
+}
--- a/crates/core/tests/graceful_shutdown.rs
+++ b/crates/core/tests/graceful_shutdown.rs
@@ -30,6 +30,7 @@
                         ShutdownEvent::Poll {
                             connections: 3,
                             busy: 1,
+                            delivering: 0,
                         },
                     )
                 }
@@ -40,6 +41,7 @@
                         ShutdownEvent::Poll {
                             connections: 3,
                             busy: 1,
+                            delivering: 0,
                         },
                     );
                 }
@@ -69,7 +71,8 @@
             500 * MS,
             ShutdownEvent::Poll {
                 connections: 2,
-                busy: 1
+                busy: 1,
+                delivering: 0,
             }
         ),
         ShutdownStep::Wait(_)
@@ -79,9 +82,30 @@
             520 * MS,
             ShutdownEvent::Poll {
                 connections: 0,
-                busy: 0
+                busy: 0,
+                delivering: 0,
             }
         ),
         ShutdownStep::Exit
     );
 }
+
+// Guards against a process that exits while it writes a long response.
+#[test]
+fn process_does_not_exit_while_a_response_is_under_way() {
+    let mut shutdown = GracefulShutdown::new(0, 3_000 * MS);
+    let poll = |delivering| ShutdownEvent::Poll {
+        connections: 1,
+        busy: 1,
+        delivering,
+    };
+    assert_eq!(
+        shutdown.on(500 * MS, ShutdownEvent::AcceptTimedOut),
+        ShutdownStep::StopAccepting
+    );
+    for now in [3_390 * MS, 3_410 * MS, 60_000 * MS] {
+        let step = shutdown.on(now, poll(1));
+        assert!(matches!(step, ShutdownStep::Wait(_)), "at {now} ns");
+    }
+    assert_eq!(shutdown.on(60_020 * MS, poll(0)), ShutdownStep::Exit);
+}
--- a/crates/model-checker/src/client_connection_model/state/transitions.rs
+++ b/crates/model-checker/src/client_connection_model/state/transitions.rs
@@ -230,7 +230,13 @@
             .filter(|connection| connection.has_pending_work(self.now))
             .count();
         let connections = self.connections.len();
-        let step = shutdown.advance(self.now, ShutdownEvent::Poll { connections, busy });
+        // A response takes one step in this model, so that none is under way.
+        let poll = ShutdownEvent::Poll {
+            connections,
+            busy,
+            delivering: 0,
+        };
+        let step = shutdown.advance(self.now, poll);
         if step == ShutdownStep::Exit {
             self.check_exit(shutdown);
             self.front = FrontState::Exited;
--- a/src/frontend/client_state.rs
+++ b/src/frontend/client_state.rs
@@ -73,7 +73,8 @@
                 ClientEvent::Closing => progress.has_unflushed_response = false,
                 ClientEvent::HeadStarted
                 | ClientEvent::BodyStarted
-                | ClientEvent::RequestReceived => {}
+                | ClientEvent::RequestReceived
+                | ClientEvent::ResponseWritten => {}
             }
         });
         self.state_changed.notify_one();
@@ -109,6 +110,13 @@
             .has_pending_work(self.clock.now(), self.has_buffered_bytes())
     }
 
+    /// Returns whether a response is under way: see [`ClientConnection::is_delivering`].
+    pub fn is_delivering(&self) -> bool {
+        let has_unflushed_response = self.progress.get().has_unflushed_response;
+        self.connection()
+            .is_delivering(self.clock.now(), has_unflushed_response)
+    }
+
     /// Returns whether the connection may be closed now: see [`ClientConnection::may_close_now`].
     pub fn may_close_now(&self) -> bool {
         self.connection()
--- a/src/frontend/connection_table.rs
+++ b/src/frontend/connection_table.rs
@@ -87,6 +87,17 @@
         pending.count()
     }
 
+    /// Returns the number of connections whose response is under way: see
+    /// [`ClientState::is_delivering`].
+    pub(super) fn delivering(&self) -> usize {
+        let open = self.open.borrow();
+        let delivering = open
+            .clients
+            .values()
+            .filter(|client| client.is_delivering());
+        delivering.count()
+    }
+
     /// Returns the next step before one more connection is accepted: see
     /// [`ConnectionLimiter::accept`].
     pub(super) fn next_step(&self, previous: Option<EvictionAttempt>) -> Accept {
--- a/src/frontend/framed_socket.rs
+++ b/src/frontend/framed_socket.rs
@@ -9,6 +9,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tulipbridge_core::client_connection::ClientEvent;
 
 use super::client_state::ClientState;
 use super::request_framer::{NextStep, RequestFramer};
@@ -98,6 +99,7 @@
         let count = ready!(socket_io::poll_write(self.write.as_ref(), cx, buf))?;
         if count > 0 {
             self.framer.response_written();
+            self.client.on(ClientEvent::ResponseWritten);
         }
         Poll::Ready(Ok(count))
     }
--- a/src/frontend/listener.rs
+++ b/src/frontend/listener.rs
@@ -113,7 +113,8 @@
     }
 
     /// Serves clients until `shutdown_signal` completes, then shuts down gracefully: returns once
-    /// every received request is answered, or the time for the shutdown has passed. Must be called
+    /// every received request is answered, or the time for the shutdown has passed and no response
+    /// is under way. Must be called
     /// inside a tokio `LocalSet`.
     pub async fn serve(&self, socket: TcpListener, shutdown_signal: impl Future<Output = ()>) {
         self.status.set_accepting(true);
@@ -172,6 +173,7 @@
                     .connections
                     .pending_work()
                     .max(self.status.active_requests()),
+                delivering: self.connections.delivering(),
             };
             match shutdown.on(self.clock.now(), poll) {
                 ShutdownStep::Wait(time) => sleep(to_duration(time)).await,
--- a/tests/races/shutdown.rs
+++ b/tests/races/shutdown.rs
@@ -69,6 +69,54 @@
         expect c1
         wait front";
 
+    // Guards against long responses that are cut off since their requests' time is over.
+    shutdown_waits_for_a_long_response_that_its_server_still_writes: Platform, 1, "
+        send c1 GET /api
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\nContent-Length: 200000\\r\\n\\r\\n
+        more s0 *100000
+        close front
+        wait shut
+        wait 3500
+        more s0 *100000
+        expect c1
+        wait front";
+
+    // The same for a client that reads slowly: the system takes a part of the response at once.
+    shutdown_waits_for_a_long_response_that_its_client_still_reads: Platform, 1, "
+        slow c1
+        send c1 GET /api
+        expect s0
+        send s0 200 | *4000000
+        close front
+        wait shut
+        wait 3500
+        expect c1
+        wait front";
+
+    // Guards against a request that completes while the front waits for another's long response,
+    // and gets no answer.
+    shutdown_answers_a_request_that_completes_beside_a_long_response: Platform, 1, "
+        send c1 GET /api
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\nContent-Length: 200000\\r\\n\\r\\n
+        more s0 *100000
+        send c2 raw ${write-start}${platform-headers}Content-Length: 8\\r\\n\\r\\n1
+        close front
+        wait shut
+        wait 1000
+        send c2 raw 2
+        wait 1000
+        send c2 raw 3
+        wait 1000
+        send c2 raw 4
+        wait 1000
+        send c2 raw 5678
+        within 500 expect c2
+        more s0 *100000
+        expect c1
+        wait front";
+
     shutdown_is_not_delayed_by_a_hanging_server: Platform, 1, "
         send c1 ${write} X-Remaining:9000m | form
         expect s0
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -50,6 +50,7 @@
 //! - `await app_cluster_unhealthy 1`: until the console shows that line among the metrics
 //! - `half-close c1`, `reset c1`, `reset s0`, `reset d`: ends the sending of a client; closes a
 //!   connection with a reset
+//! - `more s0 text`: the server writes further bytes of the oldest `raw` answer (`*N`: N bytes)
 //! - `end s0`, `break s0`: closes the connection of the oldest `raw` answer, or resets it
 //! - `full s0`: connections to the server are not established; `free s0`: they are again, waiting
 //!   ones included
--- a/tests/scenario/server.rs
+++ b/tests/scenario/server.rs
@@ -78,6 +78,16 @@
         self.raw_answered.remove(0)
     }
 
+    /// Writes further bytes of the oldest raw answer, as the script spells them.
+    pub fn continue_raw_answer(&mut self, script: &str) {
+        let bytes = match script.strip_prefix('*') {
+            Some(_) => spelled_body(script),
+            None => unescape(script),
+        };
+        let connection = self.raw_answered.first_mut().expect("a raw answer");
+        connection.write(&bytes);
+    }
+
     /// Answers the oldest request as the script says.
     pub fn answer(&mut self, script: &str) {
         if let Some(raw) = script.strip_prefix("raw ") {
--- a/tests/scenario/steps.rs
+++ b/tests/scenario/steps.rs
@@ -62,6 +62,7 @@
             "half-close" => self.half_close(party),
             "slow" => self.clients.connect_slowly(party),
             "crowd" => self.clients.open_crowd(parse_number(party), rest),
+            "more" => self.server(party).continue_raw_answer(rest),
             "end" => drop(self.server(party).take_raw_answered()),
             "break" => self.server(party).take_raw_answered().reset(),
             "full" => self.server(party).fill_backlog(),
