Repeat a rejected read of a piece of a long object

Seen: a chunk server that takes 0.7 s for a piece of 64 KiB, a class of 2.5 s: the client gets 3 of 12 pieces, then the end of its connection.

Cause: each piece is a request of its own, and the decision module rejects one that it expects to be late. send_pieces took the rejection of a later piece for a failure and aborted the response that had begun.

Change: a rejected read is repeated after the time that the rejection names, for at most 8 s. The response reads the pieces itself (futures-util's try_unfold) and no task beside it, so that the read ends with the client's connection; a piece is requested once the one before has been taken.

Test: large_object_is_streamed_whole_where_its_server_is_slow failed on (2 pieces of 5). Afterwards all 12 pieces of the object above arrived.

--- a/src/frontend/replies.rs
+++ b/src/frontend/replies.rs
@@ -2,11 +2,12 @@
 //! time.
 
 use std::io;
+use std::pin::Pin;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::channel::Channel;
 use http_body_util::{Either, Full};
+use hyper::body::Body;
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::{Method, Response, StatusCode};
 
@@ -20,9 +21,12 @@
 /// `Retry-After` of a rejection by the listener, before a request reaches the handler.
 const REJECTION_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// A body whose parts are made as its client reads them.
+pub type StreamedReplyBody = Pin<Box<dyn Body<Data = Bytes, Error = io::Error>>>;
+
 /// A body that is either complete or streamed: in pieces that several requests read, or from one
 /// chunk server as it arrives.
-pub type ReplyBody = Either<Full<Bytes>, Either<Channel<Bytes, io::Error>, ForwardedBody>>;
+pub type ReplyBody = Either<Full<Bytes>, Either<StreamedReplyBody, ForwardedBody>>;
 
 /// A response to a client.
 pub type Reply = Response<ReplyBody>;
--- a/src/object/object_read.rs
+++ b/src/object/object_read.rs
@@ -2,13 +2,15 @@
 
 use std::io;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::channel::{Channel, Sender};
+use futures_util::stream::try_unfold;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 use hyper::header::{HeaderMap, HeaderValue, ETAG, IF_MATCH, RANGE};
 use hyper::{Method, StatusCode};
-use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 use super::answer::NotFound;
 use super::error::ApiError;
@@ -18,10 +20,14 @@
 use super::request::ObjectRequest;
 use super::server_client::ServerClient;
 use super::server_request::ServerRequest;
+use crate::frontend::replies::StreamedReplyBody;
 use crate::upstream::Answer;
 
-/// Capacity of the channel to the client, in pieces: how far reading runs ahead of a slow client.
-const PIECES_READ_AHEAD: usize = 1;
+/// Maximum time from the first read of a piece to its last repetition. Others wait as long for a
+/// chunk server in the middle of a response.
+const PIECE_TIMEOUT: Duration = Duration::from_secs(8);
+/// Minimum time before a rejected read of a piece is repeated.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// A read of one object for one API request.
 pub(super) struct ObjectRead {
@@ -119,41 +125,78 @@
     }
 
     /// Streams the first piece and the rest of the object up to `end`. Every piece is read by a
-    /// request with a deadline of its own. If one fails, the response is aborted, and the client
-    /// detects the truncation by the announced length.
+    /// request with a deadline of its own, once the client has taken the one before. If one fails,
+    /// the response is aborted, and the client detects the truncation by the announced length.
     ///
-    /// The task that reads the pieces ends after the last one, or when the client has closed its
-    /// connection.
-    pub(super) fn stream(self, first: Piece, end: u64) -> Channel<Bytes, io::Error> {
-        let (sender, body) = Channel::new(PIECES_READ_AHEAD);
-        spawn_local(self.send_pieces(first, end, sender));
-        body
+    /// Dropping the body, which is what becomes of the response to a client that has closed its
+    /// connection, cancels the read of the present piece.
+    pub(super) fn stream(self, first: Piece, end: u64) -> StreamedReplyBody {
+        let pieces = PieceReader::new(self, first, end);
+        Box::pin(StreamBody::new(try_unfold(pieces, PieceReader::next)))
     }
+}
+
+/// Reads an object piece by piece for a response that has begun.
+struct PieceReader {
+    read: ObjectRead,
+    /// Makes the reads fail if the object changes between the pieces.
+    conditions: HeaderMap,
+    /// The first piece, until it is taken.
+    first: Option<Bytes>,
+    /// The size of the object in bytes.
+    size: u64,
+    /// The position after the last piece.
+    position: u64,
+    /// The position at which the response ends.
+    end: u64,
+}
 
-    /// Sends the first piece to the client, then reads and sends the following ones up to `end`.
-    async fn send_pieces(mut self, first: Piece, end: u64, mut sender: Sender<Bytes, io::Error>) {
-        // Makes the following reads fail if the object changes between the pieces.
-        let mut headers = HeaderMap::new();
+impl PieceReader {
+    fn new(read: ObjectRead, first: Piece, end: u64) -> PieceReader {
+        let mut conditions = HeaderMap::new();
         if let Some(tag) = first.answer.headers.get(ETAG) {
-            headers.insert(IF_MATCH, tag.clone());
+            conditions.insert(IF_MATCH, tag.clone());
         }
-        let size = first.range.size;
-        let mut position = first.range.bytes.end;
-        let mut bytes = first.answer.body;
-        // An error here means that the client has closed its connection.
-        while sender.send_data(bytes).await.is_ok() && position < end {
-            let read_class = self.request.bucket.read_class;
-            self.request.deadline = Instant::now() + self.client.deadline(read_class);
-            let range = piece_range(position, Some(end - 1));
-            match self.piece(range, headers.clone()).await {
-                Ok(next) if next.range.bytes.start == position && next.range.size == size => {
-                    position = next.range.bytes.end;
-                    bytes = next.answer.body;
-                }
-                _ => {
-                    sender.abort(io::Error::other("a piece cannot be had"));
-                    return;
+        PieceReader {
+            read,
+            conditions,
+            size: first.range.size,
+            position: first.range.bytes.end,
+            first: Some(first.answer.body),
+            end,
+        }
+    }
+
+    /// Returns the next piece and the reader of those after it; `None` after the last one.
+    async fn next(mut self) -> io::Result<Option<(Frame<Bytes>, PieceReader)>> {
+        if let Some(first) = self.first.take() {
+            return Ok(Some((Frame::data(first), self)));
+        }
+        if self.position >= self.end {
+            return Ok(None);
+        }
+        let piece = self.read_piece().await.map_err(io::Error::other)?;
+        let range = piece.range;
+        if range.bytes.start != self.position || range.size != self.size {
+            return Err(io::Error::other("a piece has another range than requested"));
+        }
+        self.position = range.bytes.end;
+        Ok(Some((Frame::data(piece.answer.body), self)))
+    }
+
+    /// Reads the piece at the present position. A read that was rejected is repeated, since the
+    /// response has begun and only its end can be refused any more.
+    async fn read_piece(&mut self) -> Result<Piece, ApiError> {
+        let give_up_at = Instant::now() + PIECE_TIMEOUT;
+        loop {
+            let read_class = self.read.request.bucket.read_class;
+            self.read.request.deadline = Instant::now() + self.read.client.deadline(read_class);
+            let range = piece_range(self.position, Some(self.end - 1));
+            match self.read.piece(range, self.conditions.clone()).await {
+                Err(ApiError::SlowDown(retry_after)) if Instant::now() < give_up_at => {
+                    sleep(retry_after.max(MIN_RETRY_DELAY)).await;
                 }
+                result => return result,
             }
         }
     }
--- a/tests/fronts/objects.rs
+++ b/tests/fronts/objects.rs
@@ -63,6 +63,37 @@
         send s0 412
         expect c1";
 
+    // Guards against a long object that is cut off since a slow server's next piece is rejected.
+    large_object_is_streamed_whole_where_its_server_is_slow: Object, 1, "
+        settings \"read\":\"form-read\" => \"read\":\"batch-export\"
+        send c1 GET /photos/a?versionId=0.
+        expect s0
+        wait 700
+        send s0 206 ETag:'e' Content-Range:bytes~0-65535/327680 | *65536
+        expect s0
+        wait 700
+        send s0 206 ETag:'e' Content-Range:bytes~65536-131071/327680 | *65536
+        expect s0
+        wait 700
+        send s0 206 ETag:'e' Content-Range:bytes~131072-196607/327680 | *65536
+        expect s0
+        wait 700
+        send s0 206 ETag:'e' Content-Range:bytes~196608-262143/327680 | *65536
+        expect s0
+        wait 700
+        send s0 206 ETag:'e' Content-Range:bytes~262144-327679/327680 | *65536
+        expect c1";
+
+    // Guards against a piece that is requested for a client that has left.
+    pieces_of_an_object_are_not_read_for_a_client_that_left: Object, 1, "
+        settings \"read\":\"form-read\" => \"read\":\"batch-export\"
+        send c1 GET /photos/a?versionId=0.
+        expect s0
+        send s0 206 ETag:'e' Content-Range:bytes~0-65535/327680 | *65536
+        expect s0
+        close c1
+        expect s0 left";
+
     object_without_a_version_is_read_from_the_shard_with_the_latest: Object, 2, "
         send c1 GET /photos/a
         expect s0
