Read the rest of a long object after SIGTERM, too

Seen: an object of 4 pieces whose chunk server takes 1.3 s for each, and SIGTERM after the first: the last piece is never requested and the client's connection ends.

Change: Request::continues_response, set for the pieces after the first; such a request keeps its own deadline during a shutdown.

--- a/crates/core/src/interface/request.rs
+++ b/crates/core/src/interface/request.rs
@@ -23,4 +23,7 @@
     pub shard: Option<ShardId>,
     /// The number of fronts through which the volume sends its requests.
     pub front_count: u32,
+    /// Whether the request reads a further part of a response that the client already receives. A
+    /// shutdown does not shorten its deadline.
+    pub continues_response: bool,
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -73,6 +73,7 @@
 //!     units: 2.0,
 //!     shard: Some(ShardId(4)),
 //!     front_count: 1,
+//!     continues_response: false,
 //! };
 //! scheduler.handle(ms, Event::Request(request), &mut actions);
 //! assert!(actions.contains(&Action::Send { id: RequestId(1), node: NodeId(0), timeout: 0 }));
--- a/crates/core/src/state/request.rs
+++ b/crates/core/src/state/request.rs
@@ -144,9 +144,12 @@
         self.request.shard.is_none() && self.possible_execution.is_none()
     }
 
-    /// Moves the deadline to an earlier time; a later one has no effect.
-    pub fn limit_deadline(&mut self, deadline: Nanos) {
-        self.deadline_at = self.deadline_at.min(deadline);
+    /// Moves the deadline to the one of the shutdown if that is earlier. The rest of a response that
+    /// the client already receives is still read after it.
+    pub fn limit_deadline(&mut self, shutdown_deadline: Nanos) {
+        if !self.request.continues_response {
+            self.deadline_at = self.deadline_at.min(shutdown_deadline);
+        }
     }
 
     /// Records that a streamed answer has begun.
--- a/crates/core/src/state/request_table.rs
+++ b/crates/core/src/state/request_table.rs
@@ -11,7 +11,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RequestTable {
     requests: BTreeMap<RequestId, LiveRequest>,
-    /// The latest deadline of any request once the front shuts down; [`Nanos::MAX`] before.
+    /// The latest deadline of a request once the front shuts down, unless it continues a response;
+    /// [`Nanos::MAX`] before.
     shutdown_deadline: Nanos,
 }
 
--- a/crates/core/tests/attempt_withdrawal.rs
+++ b/crates/core/tests/attempt_withdrawal.rs
@@ -39,6 +39,7 @@
         units: 1.0,
         shard: None,
         front_count: 1,
+        continues_response: false,
     };
     let mut effects = Vec::new();
     tracker.on(0, Input::RequestReceived(request), &mut effects);
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -105,6 +105,7 @@
         units: 2.0,
         shard: shard.map(ShardId),
         front_count: 1,
+        continues_response: false,
     }
 }
 
--- a/crates/model-checker/src/recovery.rs
+++ b/crates/model-checker/src/recovery.rs
@@ -126,6 +126,7 @@
         units: READ_UNITS,
         shard: Some(shard),
         front_count: 1,
+        continues_response: false,
     }
 }
 
--- a/crates/model-checker/src/request_model/config.rs
+++ b/crates/model-checker/src/request_model/config.rs
@@ -122,6 +122,7 @@
             units: REQUEST_UNITS,
             shard,
             front_count: 1,
+            continues_response: false,
         }
     }
 
--- a/src/bin/tulipbridge-adapter/instance.rs
+++ b/src/bin/tulipbridge-adapter/instance.rs
@@ -184,6 +184,7 @@
             units: optional_number(row.get(8), "Weight")?,
             shard: u32::try_from(shard).ok().map(ShardId),
             front_count: optional_number(row.get(10), "SetSize")? as u32,
+            continues_response: false,
         };
         self.requests.add(name);
         Ok(request)
--- a/src/frontend/platform/request_parser.rs
+++ b/src/frontend/platform/request_parser.rs
@@ -119,6 +119,7 @@
             front_count: operation
                 .front_count
                 .ok_or(RequestError::InvalidFrontCount)? as u32,
+            continues_response: false,
         };
         Ok(ParsedRequest {
             transaction_id,
--- a/src/object/object_read.rs
+++ b/src/object/object_read.rs
@@ -130,7 +130,8 @@
     ///
     /// Dropping the body, which is what becomes of the response to a client that has closed its
     /// connection, cancels the read of the present piece.
-    pub(super) fn stream(self, first: Piece, end: u64) -> StreamedReplyBody {
+    pub(super) fn stream(mut self, first: Piece, end: u64) -> StreamedReplyBody {
+        self.request.continues_response = true;
         let pieces = PieceReader::new(self, first, end);
         Box::pin(StreamBody::new(try_unfold(pieces, PieceReader::next)))
     }
--- a/src/object/request.rs
+++ b/src/object/request.rs
@@ -72,6 +72,8 @@
     pub headers: HeaderMap,
     /// Time by which the request must be answered. Streaming an object renews it for every piece.
     pub deadline: Instant,
+    /// Whether the response has begun, so that the request reads the rest of its body.
+    pub continues_response: bool,
 }
 
 /// A version id, as clients see it: the shard that stores the version, and the chunk server's id
@@ -144,6 +146,7 @@
             query,
             headers,
             deadline: Instant::now() + self.client.deadline(class),
+            continues_response: false,
         })
     }
 
--- a/src/object/server_client.rs
+++ b/src/object/server_client.rs
@@ -122,6 +122,7 @@
             units: server_request.units.clamp(1.0, self.max_units),
             shard: server_request.shard,
             front_count: request.bucket.front_count,
+            continues_response: request.continues_response,
         }
     }
 
--- a/tests/races/shutdown.rs
+++ b/tests/races/shutdown.rs
@@ -94,6 +94,25 @@
         expect c1
         wait front";
 
+    // Guards against a long object that is cut off since its pieces are read by further requests.
+    shutdown_waits_for_a_long_object_that_is_read_in_pieces: Object, 1, "
+        settings \"read\":\"form-read\" => \"read\":\"batch-export\"
+        send c1 GET /photos/a?versionId=0.
+        expect s0
+        send s0 206 ETag:'e' Content-Range:bytes~0-65535/262144 | *65536
+        close front
+        expect s0
+        wait 1300
+        send s0 206 ETag:'e' Content-Range:bytes~65536-131071/262144 | *65536
+        expect s0
+        wait 1300
+        send s0 206 ETag:'e' Content-Range:bytes~131072-196607/262144 | *65536
+        expect s0
+        wait 1300
+        send s0 206 ETag:'e' Content-Range:bytes~196608-262143/262144 | *65536
+        expect c1
+        wait front";
+
     // Guards against a request that completes while the front waits for another's long response,
     // and gets no answer.
     shutdown_answers_a_request_that_completes_beside_a_long_response: Platform, 1, "
