Give all buffers one budget, and pass answers on without copies that stay

Ruled out: bodies, which kept to their budget.

Cause: (1) The sockets took one buffer at a time, so that hyper copied each part of a body into a write buffer that the connection keeps, 128 KiB after an answer of unknown length; read buffers doubled up to 32 KiB, and each part in flight keeps one. (2) Only bodies had a budget; connections counted 64 KiB each, which nothing enforced, and the halves together were more than the whole.

Change: both sockets write several buffers at once; reads return less than 16 KiB; the beginning of an answer is not copied to be passed on.

--- a/src/body_budget.rs
+++ b/src/body_budget.rs
@@ -1,25 +1,27 @@
 //! The memory budget that all request bodies of a front share.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
+use crate::memory_budget::{MemoryBudget, Reservation};
 use crate::telemetry::body_metrics::BodyMetrics;
 
-/// Limits the total size of the request bodies that a front buffers. It is never exceeded, so that
-/// a front stays within its memory whatever its clients send.
+/// Limits the total size of the request bodies that a front buffers.
 pub struct BodyBudget {
-    max_bytes: usize,
-    reserved_bytes: AtomicUsize,
+    memory: Arc<MemoryBudget>,
     metrics: BodyMetrics,
 }
 
 impl BodyBudget {
     /// Creates a budget of `max_bytes` bytes, none of them reserved.
     pub fn new(max_bytes: usize) -> Arc<BodyBudget> {
+        BodyBudget::with_memory(MemoryBudget::new(max_bytes))
+    }
+
+    /// Creates a budget for bodies that takes all of `memory`.
+    pub fn with_memory(memory: Arc<MemoryBudget>) -> Arc<BodyBudget> {
         Arc::new(BodyBudget {
-            max_bytes,
-            reserved_bytes: AtomicUsize::new(0),
-            metrics: BodyMetrics::new(max_bytes),
+            metrics: BodyMetrics::new(memory.max_bytes()),
+            memory,
         })
     }
 
@@ -27,23 +29,6 @@
     pub fn metrics(&self) -> &BodyMetrics {
         &self.metrics
     }
-
-    /// Reserves `bytes` more bytes, at most as many as the budget has, or none where they do not fit.
-    fn reserve(&self, bytes: usize) -> Result<(), BodyBudgetError> {
-        let max_bytes = self.max_bytes;
-        let add = |reserved: usize| Some(reserved + bytes).filter(|sum| *sum <= max_bytes);
-        self.reserved_bytes
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add)
-            .map_err(|_| BodyBudgetError::Exhausted)?;
-        self.metrics.add_reserved(bytes);
-        Ok(())
-    }
-
-    /// Returns reserved bytes to the budget.
-    fn release(&self, bytes: usize) {
-        self.reserved_bytes.fetch_sub(bytes, Ordering::Relaxed);
-        self.metrics.subtract_reserved(bytes);
-    }
 }
 
 /// Why a body gets no memory of a [`BodyBudget`].
@@ -61,7 +46,7 @@
 /// it with the payload that it sends.
 pub struct BodyReservation {
     budget: Arc<BodyBudget>,
-    bytes: usize,
+    memory: Reservation,
 }
 
 impl BodyReservation {
@@ -73,9 +58,10 @@
         budget: &Arc<BodyBudget>,
         bytes: usize,
     ) -> Result<BodyReservation, BodyBudgetError> {
+        let memory = Reservation::acquire(&budget.memory, 0);
         let mut reservation = BodyReservation {
             budget: Arc::clone(budget),
-            bytes: 0,
+            memory: memory.ok_or(BodyBudgetError::Exhausted)?,
         };
         reservation.grow(bytes)?;
         Ok(reservation)
@@ -92,18 +78,21 @@
 
     /// Extends the reservation without counting a failure.
     fn extend(&mut self, bytes: usize) -> Result<(), BodyBudgetError> {
-        if bytes > self.budget.max_bytes {
+        if bytes > self.budget.memory.max_bytes() {
             return Err(BodyBudgetError::TooLong);
         }
-        let additional = bytes.saturating_sub(self.bytes);
-        self.budget.reserve(additional)?;
-        self.bytes += additional;
+        let bytes_before = self.memory.bytes();
+        if !self.memory.grow(bytes) {
+            return Err(BodyBudgetError::Exhausted);
+        }
+        let added_bytes = self.memory.bytes() - bytes_before;
+        self.budget.metrics.add_reserved(added_bytes);
         Ok(())
     }
 }
 
 impl Drop for BodyReservation {
     fn drop(&mut self) {
-        self.budget.release(self.bytes);
+        self.budget.metrics.subtract_reserved(self.memory.bytes());
     }
 }
--- a/src/front/assembly.rs
+++ b/src/front/assembly.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
@@ -24,11 +25,11 @@
 use crate::control::readiness::Readiness;
 use crate::exchange::Exchange;
 use crate::front::error::FrontError;
-use crate::front::resource_limits::{request_body_memory, ConnectionLimits};
+use crate::front::resource_limits::{BufferMemory, ConnectionLimits};
 use crate::frontend::listener::{Handler, Listener, ListenerLimits};
 use crate::frontend::listener_status::ListenerStatus;
 use crate::telemetry::metrics::Metrics;
-use crate::upstream::Upstream;
+use crate::upstream::{ResponseMemory, Upstream};
 
 /// The interval at which idle connections to chunk servers are closed.
 const IDLE_CLOSE_INTERVAL: Duration = Duration::from_secs(1);
@@ -96,8 +97,9 @@
     discovery_address: watch::Receiver<Option<SocketAddr>>,
 ) -> Result<FrontParts, FrontError> {
     let limits = ConnectionLimits::new(config);
-    let upstream = Upstream::new(config.dial_timeout, config.idle_close, limits.servers);
+    let buffers = BufferMemory::new(config.memory_bytes, &limits);
     let metrics = Rc::new(Metrics::new());
+    let upstream = connect_upstream(config, &limits, &buffers, &metrics);
     let counters = Rc::clone(&metrics);
     let count_violation = Box::new(move |violation: Violation| {
         counters.count_violation(violation.rule);
@@ -117,7 +119,7 @@
     )?;
     spawn_local(Rc::clone(&maintenance).follow());
     spawn_local(close_idle_connections(Rc::clone(&exchange)));
-    let body_budget = BodyBudget::new(request_body_memory(config.memory_bytes));
+    let body_budget = BodyBudget::with_memory(buffers.request_bodies);
     body_budget.metrics().register(&metrics);
     let parts = FrontParts {
         exchange,
@@ -134,6 +136,23 @@
     Ok(parts)
 }
 
+/// Creates the transport to the chunk servers, with the metrics of its memory.
+fn connect_upstream(
+    config: &Config,
+    limits: &ConnectionLimits,
+    buffers: &BufferMemory,
+    metrics: &Metrics,
+) -> Upstream {
+    let memory = ResponseMemory::new(Arc::clone(&buffers.all));
+    metrics.register(memory.metrics().clone());
+    Upstream::new(
+        config.dial_timeout,
+        config.idle_close,
+        limits.servers,
+        memory,
+    )
+}
+
 /// Joins the front's peers; returns `None` where the configuration names none.
 fn join_peers(
     config: &Config,
--- a/src/frontend/forwarded_body.rs
+++ b/src/frontend/forwarded_body.rs
@@ -79,32 +79,24 @@
         }
     }
 
-    /// Returns the next data from the chunk server, or how the body has ended. Trailers are not
-    /// forwarded.
+    /// Returns the next data from the chunk server, or how the body has ended.
     fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Result<Bytes, StreamEnd>> {
         let Some(streamed) = &mut self.streamed else {
             return Poll::Ready(Err(StreamEnd::Complete));
         };
-        let buffered = std::mem::take(&mut streamed.buffered);
-        if !buffered.is_empty() {
-            return Poll::Ready(Ok(buffered));
-        }
-        loop {
-            let frame = match Pin::new(&mut streamed.body).poll_frame(cx) {
-                Poll::Ready(Some(Ok(frame))) => frame,
-                Poll::Ready(Some(Err(_))) => return Poll::Ready(Err(StreamEnd::ServerFailed)),
-                Poll::Ready(None) => return Poll::Ready(Err(StreamEnd::Complete)),
-                Poll::Pending => {
-                    let silence = self
-                        .silence
-                        .get_or_insert_with(|| Box::pin(sleep(SERVER_SILENCE_TIMEOUT)));
-                    ready!(silence.as_mut().poll(cx));
-                    return Poll::Ready(Err(StreamEnd::ServerSilent));
-                }
-            };
-            self.silence = None;
-            if let Ok(data) = frame.into_data() {
-                return Poll::Ready(Ok(data));
+        match streamed.poll_part(cx) {
+            Poll::Ready(Some(Ok(data))) => {
+                self.silence = None;
+                Poll::Ready(Ok(data))
+            }
+            Poll::Ready(Some(Err(_))) => Poll::Ready(Err(StreamEnd::ServerFailed)),
+            Poll::Ready(None) => Poll::Ready(Err(StreamEnd::Complete)),
+            Poll::Pending => {
+                let silence = self
+                    .silence
+                    .get_or_insert_with(|| Box::pin(sleep(SERVER_SILENCE_TIMEOUT)));
+                ready!(silence.as_mut().poll(cx));
+                Poll::Ready(Err(StreamEnd::ServerSilent))
             }
         }
     }
@@ -112,8 +104,11 @@
     /// Ends the body where the chunk server has sent all of it, since a body whose length is known is
     /// not read beyond that.
     fn end_if_complete(&mut self) {
-        let is_complete = |streamed: &StreamedBody| streamed.body.is_end_stream();
-        if self.streamed.as_ref().is_some_and(is_complete) {
+        if self
+            .streamed
+            .as_ref()
+            .is_some_and(StreamedBody::is_complete)
+        {
             self.end(StreamEnd::Complete);
         }
     }
--- a/src/frontend/framed_socket.rs
+++ b/src/frontend/framed_socket.rs
@@ -2,7 +2,7 @@
 //! them, so that hyper and the listener agree on where a request ends, and so that the listener
 //! knows the state of each connection.
 
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -55,6 +55,14 @@
         Poll::Ready(Ok(received.len()))
     }
 
+    /// Records that the system has accepted `count` bytes of a response.
+    fn response_written(&mut self, count: usize) {
+        if count > 0 {
+            self.framer.response_written();
+            self.client.on(ClientEvent::ResponseWritten);
+        }
+    }
+
     /// Returns once bytes are released to hyper, or the stream has ended.
     fn poll_released(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         while self.framer.released().is_empty() {
@@ -97,13 +105,27 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let count = ready!(socket_io::poll_write(self.write.as_ref(), cx, buf))?;
-        if count > 0 {
-            self.framer.response_written();
-            self.client.on(ClientEvent::ResponseWritten);
-        }
+        self.response_written(count);
         Poll::Ready(Ok(count))
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let stream = self.write.as_ref();
+        let count = ready!(socket_io::poll_write_vectored(stream, cx, buffers))?;
+        self.response_written(count);
+        Poll::Ready(Ok(count))
+    }
+
+    /// hyper then writes the parts of a body from where they are, and copies none of them into a
+    /// buffer that the connection keeps.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.write).poll_flush(cx))?;
         // hyper flushes the socket only once its own buffer is empty.
--- a/src/frontend/request_framer.rs
+++ b/src/frontend/request_framer.rs
@@ -84,6 +84,10 @@
     pub(super) fn consume(&mut self, count: usize) {
         self.buffer.advance(count);
         self.released -= count;
+        if self.buffer.is_empty() {
+            // An empty buffer would keep the memory of the longest head so far.
+            self.buffer = BytesMut::new();
+        }
     }
 
     /// Processes the buffered bytes and returns what is needed before hyper can read more. To be
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod front;
 pub mod frontend;
 mod limits;
+pub mod memory_budget;
 pub mod object;
 pub mod runtime;
 pub mod socket_io;
--- a/src/socket_io.rs
+++ b/src/socket_io.rs
@@ -6,28 +6,35 @@
 //! other reason, that event never comes. The functions here wait only after the system has reported
 //! that the call would block, and repeat an interrupted call.
 
-use std::io;
+use std::io::{self, IoSlice};
 use std::os::fd::{AsRawFd, RawFd};
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 
 use nix::errno::Errno;
 use nix::sys::socket::{recv, send, MsgFlags};
+use nix::sys::uio::writev;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Reads from a socket, as [`AsyncRead::poll_read`] does.
+/// Maximum number of bytes that one read returns. hyper doubles its read buffer whenever a read
+/// fills it, and each part of a body that it returns keeps the whole buffer, so that buffers of
+/// 16 KiB never grow.
+pub const MAX_READ_BYTES: usize = 16 * 1024 - 1;
+
+/// Reads at most [`MAX_READ_BYTES`] bytes from a socket, as [`AsyncRead::poll_read`] does.
 pub fn poll_read(
     stream: &TcpStream,
     cx: &mut Context<'_>,
     buf: &mut ReadBuf<'_>,
 ) -> Poll<io::Result<()>> {
+    let length = buf.remaining().min(MAX_READ_BYTES);
     loop {
         ready!(stream.poll_read_ready(cx))?;
         let read = || {
             Ok(recv(
                 stream.as_raw_fd(),
-                buf.initialize_unfilled(),
+                buf.initialize_unfilled_to(length),
                 MsgFlags::MSG_DONTWAIT,
             )?)
         };
@@ -55,6 +62,22 @@
     }
 }
 
+/// Writes several buffers to a socket, as [`AsyncWrite::poll_write_vectored`] does.
+pub fn poll_write_vectored(
+    stream: &TcpStream,
+    cx: &mut Context<'_>,
+    buffers: &[IoSlice<'_>],
+) -> Poll<io::Result<usize>> {
+    loop {
+        ready!(stream.poll_write_ready(cx))?;
+        let write = || Ok(writev(stream, buffers)?);
+        match stream.try_io(Interest::WRITABLE, write) {
+            Err(error) if must_repeat(&error) => {}
+            result => return Poll::Ready(result),
+        }
+    }
+}
+
 /// Disables Nagle's algorithm, which would delay a message that takes two writes. A failure only
 /// adds latency, so it is not reported.
 pub fn disable_nagle(stream: &TcpStream) {
@@ -124,6 +147,18 @@
         poll_write(&self.0, cx, buf)
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        poll_write_vectored(&self.0, cx, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // Nothing to flush: a TCP socket has no buffer in this process.
         Poll::Ready(Ok(()))
--- a/src/upstream/attempt_run.rs
+++ b/src/upstream/attempt_run.rs
@@ -11,6 +11,7 @@
 use super::connections::Connections;
 use super::payload::{Answer, Payload};
 use crate::exchange::{AttemptReport, Withdrawal};
+use crate::memory_budget::Reservation;
 
 /// An attempt in progress to send a request to a chunk server.
 pub(super) struct AttemptRun {
@@ -19,6 +20,8 @@
     payload: Rc<Payload>,
     deadline: Instant,
     withdrawal: Withdrawal,
+    /// The memory for the response, once it was acquired.
+    response_memory: Option<Reservation>,
     /// The connection that was acquired for the next send.
     connection: Option<PooledConnection>,
 }
@@ -38,6 +41,7 @@
             payload,
             deadline,
             withdrawal,
+            response_memory: None,
             connection: None,
         }
     }
@@ -60,8 +64,15 @@
         }
     }
 
-    /// Takes an idle connection from the pool, or checks whether a new one may be opened.
+    /// Takes an idle connection from the pool, or checks whether a new one may be opened. Without
+    /// memory for the response there is neither.
     fn acquire(&mut self) -> AttemptEvent {
+        if self.response_memory.is_none() {
+            self.response_memory = self.connections.reserve_response();
+        }
+        if self.response_memory.is_none() {
+            return AttemptEvent::NoPooledConnection { may_open: false };
+        }
         self.connection = self.connections.take_pooled(self.node);
         if self.connection.is_some() {
             return AttemptEvent::PooledConnectionFound;
@@ -90,11 +101,12 @@
     /// # Errors
     /// Returns the event for the state machine if no valid response arrives.
     async fn send(&mut self) -> Result<AttemptReport<Answer>, AttemptEvent> {
-        let Some(mut connection) = self.connection.take() else {
+        let acquired = self.connection.take().zip(self.response_memory.take());
+        let Some((mut connection, memory)) = acquired else {
             return Err(AttemptEvent::ConnectionBroke(Execution::MayHaveRun));
         };
         let result = connection
-            .send(&self.payload, self.deadline, &self.withdrawal)
+            .send(&self.payload, self.deadline, &self.withdrawal, memory)
             .await;
         let mut report = result.map_err(|execution| self.failure(execution))?;
         let streamed = report
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -1,6 +1,7 @@
 //! A connection to a chunk server: the handle that the pool keeps, and a socket that records its
 //! traffic.
 
+use std::io::IoSlice;
 use std::os::fd::{AsRawFd, RawFd};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -25,6 +26,7 @@
 use super::response::read_response;
 use super::wire_state::WireState;
 use crate::exchange::{AttemptReport, Withdrawal};
+use crate::memory_budget::Reservation;
 use crate::socket_io::{self, disable_nagle};
 
 /// Size of hyper's read buffer in bytes; a longer response head is an error.
@@ -110,7 +112,7 @@
         self.is_open() && socket_io::is_quiet(self.socket)
     }
 
-    /// Sends a request and reads its response.
+    /// Sends a request and reads its response, whose body keeps what it takes of `memory`.
     ///
     /// # Errors
     /// Returns what is known about the execution of the request, if no valid response arrives.
@@ -119,6 +121,7 @@
         payload: &Payload,
         deadline: Instant,
         withdrawal: &Withdrawal,
+        memory: Reservation,
     ) -> Result<AttemptReport<Answer>, Execution> {
         self.sender
             .ready()
@@ -145,7 +148,8 @@
             if !wire.connection().is_reading_response() {
                 return Err(wire.execution());
             }
-            let report = read_response(response, payload.accepted_responses, self.shard).await?;
+            let accepted = payload.accepted_responses;
+            let report = read_response(response, accepted, self.shard, memory).await?;
             wire.on(ConnectionEvent::ResponseComplete);
             Ok(report)
         };
@@ -204,6 +208,24 @@
     pub fn new(stream: TcpStream, wire: Rc<WireState>) -> ObservedStream {
         ObservedStream { stream, wire }
     }
+
+    /// Checks whether bytes of the present request may be written.
+    fn check_write(&self) -> std::io::Result<()> {
+        if self.wire.may_write(self.stream.as_raw_fd()) {
+            Ok(())
+        } else {
+            Err(std::io::ErrorKind::ConnectionReset.into())
+        }
+    }
+
+    /// Records that the socket has accepted the first `count` bytes of `buffers`.
+    fn record_written(&self, buffers: &[IoSlice<'_>], mut count: usize) {
+        for buffer in buffers {
+            let length = buffer.len().min(count);
+            self.wire.bytes_written(&buffer[..length]);
+            count -= length;
+        }
+    }
 }
 
 impl AsyncRead for ObservedStream {
@@ -227,9 +249,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        if !self.wire.may_write(self.stream.as_raw_fd()) {
-            return Poll::Ready(Err(std::io::ErrorKind::ConnectionReset.into()));
-        }
+        self.check_write()?;
         let result = socket_io::poll_write(&self.stream, cx, buf);
         if let Poll::Ready(Ok(count)) = result {
             self.wire.bytes_written(&buf[..count]);
@@ -237,6 +257,25 @@
         result
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        self.check_write()?;
+        let result = socket_io::poll_write_vectored(&self.stream, cx, buffers);
+        if let Poll::Ready(Ok(count)) = result {
+            self.record_written(buffers, count);
+        }
+        result
+    }
+
+    /// hyper then writes the parts of a body from where they are, and copies none of them into a
+    /// buffer that the connection keeps.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
         Pin::new(&mut self.stream).poll_flush(cx)
     }
--- a/src/upstream/connections.rs
+++ b/src/upstream/connections.rs
@@ -11,7 +11,9 @@
 
 use super::connection::PooledConnection;
 use super::open_connections::OpenConnections;
+use super::response_memory::ResponseMemory;
 use super::server_table::{ServerTable, UpsertResult};
+use crate::memory_budget::Reservation;
 use crate::telemetry::trace;
 
 /// Fraction of the servers' idle timeout after which this side closes an idle connection.
@@ -26,6 +28,7 @@
     open: OpenConnections,
     servers: RefCell<ServerTable>,
     pool: RefCell<ConnectionPool<PooledConnection>>,
+    response_memory: ResponseMemory,
 }
 
 impl Connections {
@@ -34,6 +37,7 @@
         dial_timeout: Duration,
         server_idle_timeout: Duration,
         max_connections: usize,
+        response_memory: ResponseMemory,
     ) -> Connections {
         let idle_timeout = server_idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION);
         Connections {
@@ -45,6 +49,7 @@
                 idle_timeout.as_nanos() as Nanos,
                 max_connections,
             )),
+            response_memory,
         }
     }
 
@@ -111,6 +116,11 @@
             .reusable
     }
 
+    /// Reserves the memory for a response; returns `None` while there is none.
+    pub fn reserve_response(&self) -> Option<Reservation> {
+        self.response_memory.reserve()
+    }
+
     /// Returns a connection to the pool, or closes it if it cannot be reused.
     pub fn release(&self, node: NodeId, connection: PooledConnection) {
         // The check for unsolicited bytes on the socket is made when the connection is reused.
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -8,6 +8,7 @@
 pub mod payload;
 pub mod request_body;
 mod response;
+pub mod response_memory;
 mod server_table;
 pub mod wire_state;
 
@@ -23,6 +24,7 @@
 use crate::exchange::{AttemptReport, Transport, Withdrawal};
 
 pub use self::payload::{AcceptedResponses, Answer, Payload, StreamedBody};
+pub use self::response_memory::ResponseMemory;
 
 /// The transport to the chunk servers, with their addresses and the connections to them.
 pub struct Upstream {
@@ -33,13 +35,20 @@
     /// Creates a transport without chunk servers. `dial_timeout` limits the time for connecting.
     /// `server_idle_timeout` is the time after which the servers close an idle connection; a
     /// request written at that moment would be lost, so this side closes connections well before.
-    /// `max_connections` limits the number of connections to all servers together.
+    /// `max_connections` limits the number of connections to all servers together, and
+    /// `response_memory` the memory of the responses.
     pub fn new(
         dial_timeout: Duration,
         server_idle_timeout: Duration,
         max_connections: usize,
+        response_memory: ResponseMemory,
     ) -> Upstream {
-        let connections = Connections::new(dial_timeout, server_idle_timeout, max_connections);
+        let connections = Connections::new(
+            dial_timeout,
+            server_idle_timeout,
+            max_connections,
+            response_memory,
+        );
         Upstream {
             connections: Rc::new(connections),
         }
--- a/src/upstream/payload.rs
+++ b/src/upstream/payload.rs
@@ -1,14 +1,19 @@
 //! Requests to chunk servers and their responses.
 
+use std::collections::VecDeque;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{ready, Context, Poll};
 
 use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode, Uri};
 use tulipbridge_core::ShardId;
 
+use super::response_memory::MIN_UNCOPIED_BYTES;
 use crate::body_budget::BodyReservation;
+use crate::memory_budget::Reservation;
 use crate::telemetry::metrics::ClassMetrics;
 
 /// A request to a chunk server.
@@ -60,27 +65,59 @@
 /// A long body that is still arriving, with its connection. It is read only as fast as the client
 /// reads, so that only a few parts of it are buffered. Dropping it closes the connection.
 pub struct StreamedBody {
-    /// The beginning of the body, which was read before streaming started.
-    pub buffered: Bytes,
+    /// The parts of the body that were read before streaming started.
+    beginning: VecDeque<Bytes>,
     /// The rest of the body.
-    pub body: Incoming,
+    body: Incoming,
     /// The length of the whole body in bytes, where the server announced it.
     pub length: Option<u64>,
     /// Returns the connection to the pool when called; dropping it closes the connection.
     release_connection: Option<Box<dyn FnOnce()>>,
+    /// The memory of the parts of the body that are on their way.
+    _memory: Reservation,
 }
 
 impl StreamedBody {
-    /// Creates a body that does not own its connection yet.
-    pub(super) fn new(buffered: Bytes, body: Incoming, length: Option<u64>) -> StreamedBody {
+    /// Creates a body that starts with the parts `beginning` and does not own its connection yet.
+    /// `memory` is the memory of the parts after these.
+    pub(super) fn new(
+        beginning: [Bytes; 2],
+        body: Incoming,
+        length: Option<u64>,
+        memory: Reservation,
+    ) -> StreamedBody {
+        let beginning = beginning.into_iter().filter(|part| !part.is_empty());
         StreamedBody {
-            buffered,
+            beginning: beginning.collect(),
             body,
             length,
             release_connection: None,
+            _memory: memory,
         }
     }
 
+    /// Returns the next part of the body, or `None` once it is complete. Trailers are left out.
+    pub fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, hyper::Error>>> {
+        if let Some(part) = self.beginning.pop_front() {
+            return Poll::Ready(Some(Ok(part)));
+        }
+        loop {
+            let frame = match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
+                Some(Ok(frame)) => frame,
+                Some(Err(error)) => return Poll::Ready(Some(Err(error))),
+                None => return Poll::Ready(None),
+            };
+            if let Ok(data) = frame.into_data() {
+                return Poll::Ready(Some(Ok(compact(data))));
+            }
+        }
+    }
+
+    /// Returns whether all parts of a body of known length have been taken.
+    pub fn is_complete(&self) -> bool {
+        self.beginning.is_empty() && self.body.is_end_stream()
+    }
+
     /// Stores the connection that the body arrives on, as a closure that returns it to the pool.
     pub(super) fn keep_connection(&mut self, release: impl FnOnce() + 'static) {
         self.release_connection = Some(Box::new(release));
@@ -94,6 +131,16 @@
     }
 }
 
+/// Returns a copy of a part of a body where the part is small compared with the read buffer that it
+/// would keep.
+fn compact(part: Bytes) -> Bytes {
+    if part.len() < MIN_UNCOPIED_BYTES {
+        Bytes::copy_from_slice(&part)
+    } else {
+        part
+    }
+}
+
 impl std::fmt::Debug for StreamedBody {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("StreamedBody")
--- a/src/upstream/response.rs
+++ b/src/upstream/response.rs
@@ -1,7 +1,7 @@
 //! Reads responses of chunk servers and maps them to outcomes.
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
@@ -10,8 +10,10 @@
 use tulipbridge_core::{Outcome, ShardId};
 
 use super::payload::{AcceptedResponses, Answer, StreamedBody};
+use super::response_memory::STREAM_BYTES;
 use crate::exchange::AttemptReport;
 use crate::limits::MAX_BUFFERED_BODY_BYTES;
+use crate::memory_budget::Reservation;
 
 /// Maximum length in bytes that a response may announce for its body; a longer one is an error.
 const MAX_STREAMED_BODY: u64 = 1 << 30;
@@ -23,7 +25,10 @@
 const FOREIGN_UNITS: HeaderName = HeaderName::from_static("x-served-elsewhere");
 
 /// Reads a response with its body. A served response whose body is long, or of unknown length, is
-/// streamed if `accepted` is [`AcceptedResponses::OkOnly`].
+/// streamed if `accepted` is [`AcceptedResponses::OkOnly`]. The body keeps as much of `memory`, of
+/// [`RESPONSE_BYTES`], as it takes.
+///
+/// [`RESPONSE_BYTES`]: super::response_memory::RESPONSE_BYTES
 ///
 /// # Errors
 /// Returns [`Execution::MayHaveRun`] for an informational response and one that is too long,
@@ -33,6 +38,7 @@
     response: Response<Incoming>,
     accepted: AcceptedResponses,
     shard: ShardId,
+    mut memory: Reservation,
 ) -> Result<AttemptReport<Answer>, Execution> {
     let report = read_head(&response, accepted);
     let headers = response.headers();
@@ -45,18 +51,21 @@
     let length_unknown = size.exact().is_none();
     let too_long_to_buffer = size.lower() > MAX_BUFFERED_BODY_BYTES as u64;
     let served = report.outcome == Outcome::Served;
-    let (head, body) = response.into_parts();
+    let (head, mut body) = response.into_parts();
     let answer = if (length_unknown || too_long_to_buffer)
         && served
         && accepted == AcceptedResponses::OkOnly
     {
-        Some(read_streamed(head, body, size.exact(), shard).await?)
+        Some(read_streamed(head, body, shard, memory).await?)
     } else if too_long_to_buffer {
         return Err(Execution::MayHaveRun);
     } else {
-        let body = Limited::new(body, MAX_BUFFERED_BODY_BYTES).collect().await;
-        let body = body.map_err(|_| Execution::MayHaveRun)?.to_bytes();
-        served.then(|| answer_with(head, shard, body, None))
+        let mut prefix = BodyPrefix::new(&body);
+        if !prefix.fill(&mut body).await? {
+            return Err(Execution::MayHaveRun);
+        }
+        let bytes = memory.attach(prefix.bytes.freeze());
+        served.then(|| answer_with(head, shard, bytes, None))
     };
     Ok(AttemptReport { answer, ..report })
 }
@@ -67,23 +76,58 @@
 async fn read_streamed(
     head: Parts,
     mut body: Incoming,
-    length: Option<u64>,
     shard: ShardId,
+    mut memory: Reservation,
 ) -> Result<Answer, Execution> {
-    let mut buffered = BytesMut::new();
-    while length.is_none() && buffered.len() <= MAX_BUFFERED_BODY_BYTES {
-        let Some(frame) = body.frame().await else {
-            return Ok(answer_with(head, shard, buffered.freeze(), None));
-        };
-        let frame = frame.map_err(|_| Execution::MayHaveRun)?;
-        if let Ok(data) = frame.into_data() {
-            buffered.extend_from_slice(&data);
-        }
+    let length = body.size_hint().exact();
+    let mut prefix = BodyPrefix::new(&body);
+    if length.is_none() && prefix.fill(&mut body).await? {
+        let bytes = memory.attach(prefix.bytes.freeze());
+        return Ok(answer_with(head, shard, bytes, None));
     }
-    let streamed = StreamedBody::new(buffered.freeze(), body, length);
+    let beginning = [memory.attach(prefix.bytes.freeze()), prefix.next];
+    let memory = memory.split(STREAM_BYTES);
+    let streamed = StreamedBody::new(beginning, body, length, memory);
     Ok(answer_with(head, shard, Bytes::new(), Some(streamed)))
 }
 
+/// The first bytes of a body, up to [`MAX_BUFFERED_BODY_BYTES`].
+struct BodyPrefix {
+    bytes: BytesMut,
+    /// The part of the body that does not fit any more.
+    next: Bytes,
+}
+
+impl BodyPrefix {
+    /// Creates an empty prefix with room for a body of known length that fits.
+    fn new(body: &Incoming) -> BodyPrefix {
+        let length = body.size_hint().exact().unwrap_or(0);
+        let fits = length <= MAX_BUFFERED_BODY_BYTES as u64;
+        BodyPrefix {
+            bytes: BytesMut::with_capacity(if fits { length as usize } else { 0 }),
+            next: Bytes::new(),
+        }
+    }
+
+    /// Reads until the body ends or more of it has arrived than fits. Returns whether it has ended.
+    ///
+    /// # Errors
+    /// Returns [`Execution::MayHaveRun`] if the body is truncated or malformed.
+    async fn fill(&mut self, body: &mut Incoming) -> Result<bool, Execution> {
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| Execution::MayHaveRun)?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if self.bytes.len() + data.len() > MAX_BUFFERED_BODY_BYTES {
+                self.next = data;
+                return Ok(false);
+            }
+            self.bytes.extend_from_slice(&data);
+        }
+        Ok(true)
+    }
+}
 /// Returns the answer made of a response head and a body, which is empty if the body is streamed.
 fn answer_with(head: Parts, shard: ShardId, body: Bytes, streamed: Option<StreamedBody>) -> Answer {
     Answer {
--- a/tests/fronts/main.rs
+++ b/tests/fronts/main.rs
@@ -11,3 +11,4 @@
 mod objects;
 mod operation;
 mod server_responses;
+mod slow_peers;
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -69,14 +69,14 @@
 
 mod clients;
 mod conditions;
-mod connection;
-mod discovery;
-mod front_process;
+pub mod connection;
+pub mod discovery;
+pub mod front_process;
 mod messages;
 mod named_texts;
 mod party;
-mod script;
-mod server;
+pub mod script;
+pub mod server;
 mod steps;
 mod transcript;
 
@@ -87,7 +87,7 @@
 use self::steps::Scenario;
 
 /// How long a step may take before the scenario fails.
-const STEP_TIMEOUT: Duration = Duration::from_secs(10);
+pub const STEP_TIMEOUT: Duration = Duration::from_secs(10);
 /// How often a condition on sockets is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(1);
 /// How often conditions that take many system calls are checked.
--- a/tests/scenario/server.rs
+++ b/tests/scenario/server.rs
@@ -15,7 +15,7 @@
 
 /// A socket that accepts connections, and what the script does on them.
 pub struct Server {
-    listener: TcpListener,
+    pub listener: TcpListener,
     /// Connections on which no request is unanswered.
     idle: Vec<Connection>,
     /// Connections with an unanswered request, the oldest first.
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -3,6 +3,7 @@
 mod body_budget;
 mod framing;
 mod listener;
+mod memory_budget;
 mod range;
 mod request_body;
 mod settings_keys;
--- a/tests/unit/upstream.rs
+++ b/tests/unit/upstream.rs
@@ -5,6 +5,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -12,11 +13,13 @@
 use hyper::{Method, Uri};
 use tokio::io::AsyncWrite;
 use tulipbridge::exchange::{Transport, Withdrawal};
+use tulipbridge::memory_budget::MemoryBudget;
 use tulipbridge::server_connection::Execution;
 use tulipbridge::upstream::connection::ObservedStream;
+use tulipbridge::upstream::response_memory::RESPONSE_BYTES;
 use tulipbridge::upstream::wire_state::WireState;
-use tulipbridge::upstream::{AcceptedResponses, Payload, Upstream};
-use tulipbridge_core::ShardId;
+use tulipbridge::upstream::{AcceptedResponses, Payload, ResponseMemory, Upstream};
+use tulipbridge_core::{Outcome, ShardId};
 
 fn read_request() -> Payload {
     Payload {
@@ -31,6 +34,12 @@
     }
 }
 
+/// A transport that may open eight connections and has this memory for responses.
+fn upstream_with_memory(memory: Arc<MemoryBudget>) -> Upstream {
+    let memory = ResponseMemory::new(memory);
+    Upstream::new(Duration::from_secs(1), Duration::from_secs(30), 8, memory)
+}
+
 fn response(body: &str) -> String {
     format!("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{body}")
 }
@@ -61,7 +70,7 @@
         .expect("a runtime");
     let bodies = tokio::task::LocalSet::new().block_on(&runtime, async {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let upstream = Upstream::new(Duration::from_secs(1), Duration::from_secs(30), 8);
+        let upstream = upstream_with_memory(MemoryBudget::new(2 * RESPONSE_BYTES));
         let node = upstream.upsert_server("s-0", listener.local_addr().expect("bound"), ShardId(0));
         let payload = Rc::new(read_request());
         let deadline = Instant::now() + Duration::from_secs(10);
@@ -130,3 +139,25 @@
         }
     });
 }
+
+/// Guards against a request that may run although there is no memory for its response.
+#[test]
+fn request_is_not_sent_without_memory_for_its_response() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let report = tokio::task::LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let upstream = upstream_with_memory(MemoryBudget::new(RESPONSE_BYTES - 1));
+        let node = upstream.upsert_server("s-0", listener.local_addr().expect("bound"), ShardId(0));
+        let payload = Rc::new(read_request());
+        let deadline = Instant::now() + Duration::from_secs(10);
+        let attempt = upstream.attempt(node, payload, deadline, Withdrawal::never());
+        let report = attempt.await;
+        listener.set_nonblocking(true).expect("settable");
+        assert!(listener.accept().is_err(), "no connection is opened");
+        report
+    });
+    assert_eq!(report.outcome, Outcome::NotSent);
+}
