Judge a response by the rate at which it arrives, however it is framed

Seen: chunk servers that write 6 MB at 400 kB/s from the first millisecond on, in chunks or until they close: 12 of 12 clients get 503 within 0.21 s, 6 of the 12 requests are sent twice; 12 of 12 whole with Content-Length.

Cause: a response had to be complete 0.1 s after its first byte unless it was known to be long, which takes 64 KiB where no length is announced.

Change: ResponseProgress in the core: a response stalls when it has been slower than 64 kB/s for 0.1 s in all. A response of unknown length of which bytes still arrive after 0.1 s is passed on as it comes. A few bytes and silence are given up after 0.1 s as before.

Tests: the three scenarios slow_response_* failed on.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -94,6 +94,7 @@
 pub mod mutations;
 mod policy;
 pub mod request_tracker;
+pub mod response_progress;
 pub mod send_permission;
 pub mod server_connection;
 pub mod server_start_times;
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -3,7 +3,7 @@
 
 use std::io::IoSlice;
 use std::os::fd::{AsRawFd, RawFd};
-use std::pin::{pin, Pin};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::task::{Context, Poll};
@@ -139,26 +139,18 @@
         on_informational(&mut request, move |_| {
             responses.fetch_add(1, Ordering::Relaxed);
         });
-        let response = async {
-            let response = self
-                .sender
-                .send_request(request)
-                .await
-                .map_err(|_| wire.execution())?;
-            if !wire.connection().is_reading_response() {
-                return Err(wire.execution());
-            }
-            let accepted = payload.accepted_responses;
-            let report = read_response(response, accepted, self.shard, memory).await?;
-            wire.on(ConnectionEvent::ResponseComplete);
-            Ok(report)
-        };
-        let mut response = pin!(response);
-        tokio::select! {
+        let response = tokio::select! {
             biased;
-            report = response.as_mut() => report,
-            () = wire.response_stalled() => Err(wire.execution()),
+            response = self.sender.send_request(request) => response.map_err(|_| wire.execution())?,
+            () = wire.head_stalled() => return Err(wire.execution()),
+        };
+        if !wire.connection().is_reading_response() {
+            return Err(wire.execution());
         }
+        let accepted = payload.accepted_responses;
+        let report = read_response(response, accepted, self.shard, memory, &wire).await?;
+        wire.on(ConnectionEvent::ResponseComplete);
+        Ok(report)
     }
 }
 
@@ -236,8 +228,9 @@
     ) -> Poll<std::io::Result<()>> {
         let filled_before = buf.filled().len();
         let result = socket_io::poll_read(&self.stream, cx, buf);
-        if buf.filled().len() > filled_before {
-            self.wire.bytes_received();
+        let count = buf.filled().len() - filled_before;
+        if count > 0 {
+            self.wire.bytes_received(count);
         }
         result
     }
--- a/src/upstream/response.rs
+++ b/src/upstream/response.rs
@@ -11,6 +11,7 @@
 
 use super::payload::{AcceptedResponses, Answer, StreamedBody};
 use super::response_memory::STREAM_BYTES;
+use super::wire_state::WireState;
 use crate::exchange::AttemptReport;
 use crate::limits::MAX_BUFFERED_BODY_BYTES;
 use crate::memory_budget::Reservation;
@@ -25,20 +26,21 @@
 const FOREIGN_UNITS: HeaderName = HeaderName::from_static("x-served-elsewhere");
 
 /// Reads a response with its body. A served response whose body is long, or of unknown length, is
-/// streamed if `accepted` is [`AcceptedResponses::OkOnly`]. The body keeps as much of `memory`, of
-/// [`RESPONSE_BYTES`], as it takes.
+/// streamed if `accepted` is [`AcceptedResponses::OkOnly`]; `wire` tells when it stalls before that.
+/// The body keeps as much of `memory`, of [`RESPONSE_BYTES`], as it takes.
 ///
 /// [`RESPONSE_BYTES`]: super::response_memory::RESPONSE_BYTES
 ///
 /// # Errors
 /// Returns [`Execution::MayHaveRun`] for an informational response and one that is too long,
-/// truncated or ambiguous in its framing: the request may have been executed, and there is no valid
-/// response to answer with.
+/// truncated, stalled or ambiguous in its framing: the request may have been executed, and there is
+/// no valid response to answer with.
 pub(super) async fn read_response(
     response: Response<Incoming>,
     accepted: AcceptedResponses,
     shard: ShardId,
     mut memory: Reservation,
+    wire: &WireState,
 ) -> Result<AttemptReport<Answer>, Execution> {
     let report = read_head(&response, accepted);
     let headers = response.headers();
@@ -56,12 +58,13 @@
         && served
         && accepted == AcceptedResponses::OkOnly
     {
-        Some(read_streamed(head, body, shard, memory).await?)
+        Some(read_streamed(head, body, shard, memory, wire).await?)
     } else if too_long_to_buffer {
         return Err(Execution::MayHaveRun);
     } else {
         let mut prefix = BodyPrefix::new(&body);
-        if !prefix.fill(&mut body).await? {
+        let end = prefix.fill(&mut body, wire, |_| false).await?;
+        if end == PrefixEnd::Full {
             return Err(Execution::MayHaveRun);
         }
         let bytes = memory.attach(prefix.bytes.freeze());
@@ -70,20 +73,26 @@
     Ok(AttemptReport { answer, ..report })
 }
 
-/// Returns an answer whose body is streamed. A body of unknown length is buffered first: it is
-/// streamed only once more than [`MAX_BUFFERED_BODY_BYTES`] bytes have arrived, and one that ends before that is
-/// answered whole.
+/// Returns an answer whose body is streamed. A body of unknown length is buffered first, since it may
+/// be short: it is streamed once more than [`MAX_BUFFERED_BODY_BYTES`] bytes have arrived or its
+/// server turns out to write it slowly. One that ends before that is answered whole.
 async fn read_streamed(
     head: Parts,
     mut body: Incoming,
     shard: ShardId,
     mut memory: Reservation,
+    wire: &WireState,
 ) -> Result<Answer, Execution> {
     let length = body.size_hint().exact();
     let mut prefix = BodyPrefix::new(&body);
-    if length.is_none() && prefix.fill(&mut body).await? {
-        let bytes = memory.attach(prefix.bytes.freeze());
-        return Ok(answer_with(head, shard, bytes, None));
+    if length.is_none() {
+        let end = prefix
+            .fill(&mut body, wire, WireState::is_response_slow)
+            .await?;
+        if end == PrefixEnd::Complete {
+            let bytes = memory.attach(prefix.bytes.freeze());
+            return Ok(answer_with(head, shard, bytes, None));
+        }
     }
     let beginning = [memory.attach(prefix.bytes.freeze()), prefix.next];
     let memory = memory.split(STREAM_BYTES);
@@ -109,25 +118,51 @@
         }
     }
 
-    /// Reads until the body ends or more of it has arrived than fits. Returns whether it has ended.
+    /// Reads until the body ends, more of it has arrived than fits, or `is_enough` holds for the
+    /// parts that have arrived.
     ///
     /// # Errors
-    /// Returns [`Execution::MayHaveRun`] if the body is truncated or malformed.
-    async fn fill(&mut self, body: &mut Incoming) -> Result<bool, Execution> {
-        while let Some(frame) = body.frame().await {
+    /// Returns [`Execution::MayHaveRun`] if the body is truncated or malformed, or stalls.
+    async fn fill(
+        &mut self,
+        body: &mut Incoming,
+        wire: &WireState,
+        is_enough: impl Fn(&WireState) -> bool,
+    ) -> Result<PrefixEnd, Execution> {
+        loop {
+            let frame = tokio::select! {
+                biased;
+                frame = body.frame() => frame,
+                () = wire.response_stalled() => return Err(Execution::MayHaveRun),
+            };
+            let Some(frame) = frame else {
+                return Ok(PrefixEnd::Complete);
+            };
             let frame = frame.map_err(|_| Execution::MayHaveRun)?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
             if self.bytes.len() + data.len() > MAX_BUFFERED_BODY_BYTES {
                 self.next = data;
-                return Ok(false);
+                return Ok(PrefixEnd::Full);
             }
             self.bytes.extend_from_slice(&data);
+            if is_enough(wire) {
+                return Ok(PrefixEnd::Full);
+            }
         }
-        Ok(true)
     }
 }
+
+/// Why no more is read into a [`BodyPrefix`].
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum PrefixEnd {
+    /// The body is complete.
+    Complete,
+    /// The prefix has what it can take, and the body goes on.
+    Full,
+}
+
 /// Returns the answer made of a response head and a body, which is empty if the body is streamed.
 fn answer_with(head: Parts, shard: ShardId, body: Bytes, streamed: Option<StreamedBody>) -> Answer {
     Answer {
--- a/src/upstream/wire_state.rs
+++ b/src/upstream/wire_state.rs
@@ -10,22 +10,42 @@
 
 use tokio::sync::Notify;
 use tokio::task::yield_now;
-use tokio::time::sleep;
+use tokio::time::{sleep_until, Instant};
+use tulipbridge_core::response_progress::{ResponseProgress, STALL_TIMEOUT};
 use tulipbridge_core::send_permission::SendDenied;
 use tulipbridge_core::server_connection::{ConnectionEvent, Execution, ServerConnection};
+use tulipbridge_core::Nanos;
 
 use crate::exchange::Withdrawal;
 use crate::socket_io::has_unread_bytes;
 use crate::telemetry::metrics::ClassMetrics;
 
-/// Maximum time from the first byte of a response to its last. A server has the complete response
-/// before it sends any of it, and waiting longer for the rest would leave no time for another
-/// attempt. It is shorter than the silence after which the decision module suspects the server,
-/// because a stalled response is not such a silence.
-const STALL_TIMEOUT: Duration = Duration::from_millis(100);
 /// The bytes that end the head of a request.
 const HEAD_END: &[u8; 4] = b"\r\n\r\n";
 
+/// Times since the connection was opened.
+struct WireClock {
+    opened_at: Instant,
+}
+
+impl Default for WireClock {
+    fn default() -> WireClock {
+        WireClock {
+            opened_at: Instant::now(),
+        }
+    }
+}
+
+impl WireClock {
+    fn now(&self) -> Nanos {
+        self.opened_at.elapsed().as_nanos() as Nanos
+    }
+
+    fn instant(&self, time: Nanos) -> Instant {
+        self.opened_at + Duration::from_nanos(time.max(0) as u64)
+    }
+}
+
 /// The traffic of one connection, shared by its socket and its handle in the pool.
 #[derive(Default)]
 pub struct WireState {
@@ -38,6 +58,9 @@
     responses_started: Arc<AtomicU64>,
     /// Value of `responses_started` when bytes were last read.
     last_response_seen: Cell<u64>,
+    /// The progress of the latest response that has started.
+    progress: Cell<ResponseProgress>,
+    clock: WireClock,
     /// Notified at the first byte of each response.
     response_started: Notify,
     /// Counts the present request when its last byte is written, and is taken then.
@@ -86,26 +109,53 @@
         Arc::clone(&self.responses_started)
     }
 
-    /// Records that bytes have been read from the socket.
-    pub(super) fn bytes_received(&self) {
+    /// Records that `count` bytes, or the end of the stream, have been read from the socket.
+    pub(super) fn bytes_received(&self, count: usize) {
         self.on(ConnectionEvent::BytesReceived);
         let response = self.responses_started.load(Ordering::Relaxed);
         if self.last_response_seen.replace(response) != response {
+            self.progress.set(ResponseProgress::new(self.clock.now()));
             self.response_started.notify_one();
         }
+        let mut progress = self.progress.get();
+        progress.bytes_read(count);
+        self.progress.set(progress);
     }
 
-    /// Waits until a response has started and is not complete within [`STALL_TIMEOUT`].
+    /// Waits until the present response, whose head has been read, has stalled: see
+    /// [`ResponseProgress::stalls_at`].
     pub(super) async fn response_stalled(&self) {
+        loop {
+            let stalls_at = self.progress.get().stalls_at();
+            if self.clock.now() >= stalls_at {
+                return;
+            }
+            self.sleep_until(stalls_at).await;
+        }
+    }
+
+    /// Returns whether the present response, of which bytes have just been read, is a slow one: see
+    /// [`ResponseProgress::is_slow`].
+    pub(super) fn is_response_slow(&self) -> bool {
+        self.progress.get().is_slow(self.clock.now())
+    }
+
+    async fn sleep_until(&self, time: Nanos) {
+        sleep_until(self.clock.instant(time)).await;
+        // If this process itself was paused, data that arrived meanwhile is read first.
+        yield_now().await;
+    }
+
+    /// Waits until a response has started and its head is not complete within [`STALL_TIMEOUT`].
+    pub(super) async fn head_stalled(&self) {
         loop {
             self.response_started.notified().await;
             let response = self.last_response_seen.get();
             if !self.is_current_response(response) {
                 continue;
             }
-            sleep(STALL_TIMEOUT).await;
-            // If this process itself was paused, data that arrived meanwhile is read first.
-            yield_now().await;
+            let stalls_at = self.clock.now() + STALL_TIMEOUT;
+            self.sleep_until(stalls_at).await;
             if self.is_current_response(response) {
                 return;
             }
--- a/tests/fronts/server_responses.rs
+++ b/tests/fronts/server_responses.rs
@@ -71,4 +71,52 @@
         expect s0
         send s0 200 | second
         expect c1";
+
+    // Guards against answers that are given up for their framing: a server that announces no length
+    // may write a long answer slowly, too.
+    slow_response_in_chunks_is_passed_on_as_it_comes: Platform, 1, "
+        send c1 GET /api
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\nea60\\r\\n
+        more s0 *60000
+        wait 150
+        more s0 \\r\\n2710\\r\\n
+        more s0 *10000
+        wait 1500
+        more s0 \\r\\n4\\r\\nlast\\r\\n0\\r\\n\\r\\n
+        expect c1";
+
+    // The same for one that ends with its connection, and for a class that is not repeated.
+    slow_response_without_a_length_is_passed_on_as_it_comes: Platform, 1, "
+        send c1 ${write} | form
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\n\\r\\n
+        more s0 *60000
+        wait 150
+        more s0 and
+        wait 1500
+        more s0 last
+        end s0
+        expect c1";
+
+    // What has been passed on of it ends with the client's connection where the server resets it.
+    slow_response_without_a_length_that_is_reset_is_truncated: Platform, 1, "
+        send c1 GET /api
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\n\\r\\n
+        more s0 *60000
+        wait 150
+        more s0 and
+        wait 150
+        break s0
+        expect c1";
+
+    // Guards against a server that hangs once it has sent a head: there is nothing to pass on.
+    response_without_a_length_that_stalls_at_its_head_is_retried: Platform, 1, "
+        send c1 GET /api
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\n\\r\\n
+        expect s0
+        send s0 200 | again
+        expect c1";
 }
--- a/tests/scenario/connection.rs
+++ b/tests/scenario/connection.rs
@@ -83,7 +83,7 @@
 
     /// Reads a complete message.
     pub fn read_message(&mut self) -> std::io::Result<Message> {
-        self.read_message_with(BodyLength::ContentLength)
+        self.read_message_with(BodyLength::Announced)
     }
 
     /// Reads the response to a HEAD request, which has no body.
@@ -100,18 +100,18 @@
         let headers: HashMap<_, _> = fields
             .map(|(name, value)| (name.to_lowercase(), value.trim().to_owned()))
             .collect();
-        let length = match body_length {
-            BodyLength::Zero => 0,
-            BodyLength::ContentLength => headers
-                .get("content-length")
-                .and_then(|length| length.parse().ok())
-                .unwrap_or(0),
+        self.buffer.drain(..head_length);
+        let is_chunked = headers
+            .get("transfer-encoding")
+            .is_some_and(|coding| coding == "chunked");
+        let body = match body_length {
+            BodyLength::Zero => Vec::new(),
+            BodyLength::Announced if is_chunked => self.read_chunks()?,
+            BodyLength::Announced => {
+                let length = headers.get("content-length");
+                self.take(length.and_then(|length| length.parse().ok()).unwrap_or(0))?
+            }
         };
-        while self.buffer.len() < head_length + length {
-            self.fill()?;
-        }
-        let body = self.buffer[head_length..head_length + length].to_vec();
-        self.buffer.drain(..head_length + length);
         Ok(Message {
             start_line,
             headers,
@@ -119,6 +119,39 @@
         })
     }
 
+    /// Reads a body in chunks without trailers.
+    fn read_chunks(&mut self) -> std::io::Result<Vec<u8>> {
+        let mut body = Vec::new();
+        loop {
+            let line = self.read_line()?;
+            let length = usize::from_str_radix(&line, 16).expect("the length of a chunk");
+            body.extend(self.take(length)?);
+            assert!(self.read_line()?.is_empty(), "a line ends each chunk");
+            if length == 0 {
+                return Ok(body);
+            }
+        }
+    }
+
+    /// Reads a line, without its end.
+    fn read_line(&mut self) -> std::io::Result<String> {
+        loop {
+            if let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\r\n") {
+                let line = self.take(end + 2)?;
+                return Ok(String::from_utf8_lossy(&line[..end]).into_owned());
+            }
+            self.fill()?;
+        }
+    }
+
+    /// Reads this many bytes.
+    fn take(&mut self, length: usize) -> std::io::Result<Vec<u8>> {
+        while self.buffer.len() < length {
+            self.fill()?;
+        }
+        Ok(self.buffer.drain(..length).collect())
+    }
+
     /// Reads until the buffer has a complete head. Returns its length.
     fn read_head(&mut self) -> std::io::Result<usize> {
         loop {
@@ -159,7 +192,8 @@
 /// How the length of a body is found.
 enum BodyLength {
     Zero,
-    ContentLength,
+    /// As the head says.
+    Announced,
 }
 
 /// A connection that waits to be accepted, if any.
