Notice that a client has closed behind bytes that belong to no request

Seen: a write in chunks with 4 bytes behind it, or with a length and 9 MB behind it, whose client closes while a connection to the chunk server is being established: the write is sent 1.5 s after the close. An attempt that is under way is kept for 9 s, all of the client's time.

Cause: the end of a stream shows only once all before it is read. hyper stops reading when it holds bytes behind a request in chunks; the framer stopped reading after 8 MiB behind a request with a length.

Change: what arrives behind a complete request in chunks is discarded until the stream ends; after 8 MiB the client's connection is closed in both framings, since the end may hide behind more (a full receive buffer keeps it at the client).

--- a/src/frontend/client_state.rs
+++ b/src/frontend/client_state.rs
@@ -25,6 +25,8 @@
     eviction: Notify,
     /// Notified after each [`ClientEvent`] on the connection.
     state_changed: Notify,
+    /// Notified once a request in chunks arrives.
+    chunked_request: Notify,
 }
 
 /// The connection's state machine, and what it does not record about the current request.
@@ -54,6 +56,7 @@
             socket,
             eviction: Notify::new(),
             state_changed: Notify::new(),
+            chunked_request: Notify::new(),
         })
     }
 
@@ -155,6 +158,16 @@
         self.update(|progress| progress.is_last_request = true);
     }
 
+    /// Records that a request in chunks arrives, the last one on the connection.
+    pub(super) fn set_chunked_request(&self) {
+        self.chunked_request.notify_one();
+    }
+
+    /// Returns once [`ClientState::set_chunked_request`] has been called.
+    pub(super) async fn wait_for_chunked_request(&self) {
+        self.chunked_request.notified().await;
+    }
+
     /// Records that all response bytes have been flushed to the kernel.
     pub(super) fn set_response_flushed(&self) {
         self.update(|progress| progress.has_unflushed_response = false);
--- a/src/frontend/connection.rs
+++ b/src/frontend/connection.rs
@@ -13,9 +13,10 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tulipbridge_core::client_connection::ClientEvent;
+use tulipbridge_core::client_connection::{ClientEvent, Phase};
 
 use super::body::{read_body, BodyLimits, ReceivedBody};
 use super::client_state::ClientState;
@@ -25,7 +26,7 @@
 use super::listener::Handler;
 use super::listener_status::ListenerStatus;
 use super::replies::{listener_overloaded, with_connection_close, Reply};
-use super::request_framer::MAX_HEAD_BYTES;
+use super::request_framer::{MAX_DISCARDED_BYTES, MAX_HEAD_BYTES};
 use super::response_body::{OpenRequest, ResponseBody};
 use crate::body_budget::BodyBudget;
 use crate::socket_io::disable_nagle;
@@ -89,14 +90,27 @@
         let (read, write) = stream.into_split();
         let read = Rc::new(read);
         let socket = FramedSocket::new(Rc::clone(&read), write, Rc::clone(client));
-        self.serve_http(socket, client, registration.admission())
-            .await;
+        tokio::select! {
+            biased;
+            () = self.serve_http(socket, client, registration.admission()) => {}
+            () = self.chunked_request_cancelled(&read, client) => {}
+        }
         client.on(ClientEvent::Closing);
         self.lingering_close
             .drain(&read, client.connected_at())
             .await;
     }
 
+    /// Returns once the client of a request in chunks has closed its connection behind the request.
+    /// hyper does not read beyond bytes that arrive there.
+    async fn chunked_request_cancelled(&self, read: &OwnedReadHalf, client: &ClientState) {
+        client.wait_for_chunked_request().await;
+        let is_complete = || client.phase() == Phase::Responding;
+        self.lingering_close
+            .discard_behind_request(read, MAX_DISCARDED_BYTES, is_complete)
+            .await;
+    }
+
     /// Serves HTTP/1.1 on a socket until the connection ends, or the listener shuts down.
     async fn serve_http(
         &self,
--- a/src/frontend/framed_socket.rs
+++ b/src/frontend/framed_socket.rs
@@ -73,8 +73,6 @@
                         break;
                     }
                 }
-                // hyper reads again once it has written the response.
-                NextStep::AwaitResponse => return Poll::Pending,
                 NextStep::EndOfStream => break,
             }
         }
--- a/src/frontend/lingering_close.rs
+++ b/src/frontend/lingering_close.rs
@@ -1,4 +1,5 @@
-//! Closing a client's socket without losing the last response. Closing a socket that has unread
+//! Discarding what a client sends beyond its last request, to close its socket without losing the last
+//! response, and to learn that the client has closed its side. Closing a socket that has unread
 //! data resets the connection, and a client that has not read the response yet could lose it.
 
 use std::cell::RefCell;
@@ -7,13 +8,15 @@
 
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::task::yield_now;
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// A connection that this side has closed is drained until this long after it was accepted, or for
 /// [`LINGER_IDLE_TIMEOUT`] where that is later.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(4);
 /// Draining ends once no data has arrived for this long.
 const LINGER_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time between two looks for data behind a request.
+const DISCARD_INTERVAL: Duration = Duration::from_millis(20);
 /// Size of the buffer for discarded data.
 const DISCARD_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -58,6 +61,35 @@
         }
     }
 
+    /// Discards the data that a client sends behind its request, and returns once the stream ends or
+    /// `max_bytes` have been discarded. `is_request_complete` tells whether what arrives is behind the
+    /// request.
+    pub(super) async fn discard_behind_request(
+        &self,
+        read: &OwnedReadHalf,
+        max_bytes: usize,
+        is_request_complete: impl Fn() -> bool,
+    ) {
+        let mut discarded = 0;
+        while discarded < max_bytes {
+            if !is_request_complete() {
+                sleep(DISCARD_INTERVAL).await;
+                continue;
+            }
+            match self.discard_available(read) {
+                Ok(0) => return,
+                Ok(count) => {
+                    discarded += count;
+                    yield_now().await;
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    sleep(DISCARD_INTERVAL).await;
+                }
+                Err(_) => return,
+            }
+        }
+    }
+
     /// Discards the data that is available now, up to the size of the buffer. Returns its length,
     /// which is 0 at the end of the stream.
     fn discard_available(&self, read: &OwnedReadHalf) -> io::Result<usize> {
--- a/src/frontend/request_framer.rs
+++ b/src/frontend/request_framer.rs
@@ -15,8 +15,8 @@
 /// Maximum size of a request head in bytes; a longer one is answered with 431.
 pub(super) const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum number of bytes that are discarded because they arrive before a response, for all
-/// requests on a connection together; the socket is not read beyond that.
-const MAX_DISCARDED_BYTES: usize = 8 << 20;
+/// requests on a connection together. The connection of a client that sends more is closed.
+pub(super) const MAX_DISCARDED_BYTES: usize = 8 << 20;
 /// The line break of the last header line and the blank line that ends a request head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -42,8 +42,6 @@
     Continue,
     /// Read bytes from the socket and pass them to [`RequestFramer::receive`].
     ReadSocket,
-    /// Send the response first; the socket is not read meanwhile.
-    AwaitResponse,
     /// Report the end of the stream to hyper.
     EndOfStream,
 }
@@ -163,6 +161,7 @@
             Ok(BodyFraming::Chunked) => {
                 self.client.set_last_request();
                 self.client.on(ClientEvent::BodyStarted);
+                self.client.set_chunked_request();
                 self.state = ReadState::PassThrough;
             }
             Err(status) => self.reject_request(status),
@@ -221,16 +220,16 @@
         NextStep::Continue
     }
 
-    /// Discards bytes that arrived before the response. The socket is read further, up to
-    /// [`MAX_DISCARDED_BYTES`], to detect the end of the stream after them: a client that sends
-    /// data and closes its connection has cancelled the request. The connection closes after this
-    /// response, since such bytes are not treated as a request.
+    /// Discards bytes that arrived before the response. The socket is read further, to detect the end
+    /// of the stream after them: a client that sends data and closes its connection has cancelled
+    /// the request. The connection closes after this response, since such bytes are not treated as a
+    /// request, or after [`MAX_DISCARDED_BYTES`] of them, behind which the end could hide.
     fn discard_early_bytes(&mut self) -> NextStep {
         self.buffer.clear();
         if self.discarded < MAX_DISCARDED_BYTES {
             NextStep::ReadSocket
         } else {
-            NextStep::AwaitResponse
+            NextStep::EndOfStream
         }
     }
 }
--- a/tests/races/disconnects.rs
+++ b/tests/races/disconnects.rs
@@ -109,4 +109,58 @@
         expect s0
         reset c2
         within 1000 expect s0 left";
+
+    // Guards against a request that is sent for a client that has left: its close waits behind bytes
+    // that nobody reads, as they belong to no request.
+    write_in_chunks_is_not_sent_when_its_client_leaves_bytes_behind_it: Platform, 1, "
+        settings ${long-dial-timeout}
+        full s0
+        send c1 raw ${write-start}${platform-headers}Transfer-Encoding: chunked\\r\\n\\r\\n4\\r\\nform\\r\\n0\\r\\n\\r\\nmore
+        wait 100
+        close c1
+        wait 100
+        free s0
+        send c2 ${write} | wanted
+        expect s0
+        send s0 200 | stored
+        expect c2
+        wait 1500
+        send c2 ${write} | wanted too
+        expect s0
+        send s0 200 | stored
+        expect c2";
+
+    // The same with a length, and more bytes behind the body than are read.
+    write_is_not_sent_when_its_client_leaves_megabytes_behind_it: Platform, 1, "
+        settings ${long-dial-timeout}
+        full s0
+        send c1 raw ${write-start}${platform-headers}Content-Length: 4\\r\\n\\r\\nform
+        wait 100
+        send c1 bytes 9000000
+        close c1
+        wait 100
+        free s0
+        send c2 ${write} | wanted
+        expect s0
+        send s0 200 | stored
+        expect c2
+        wait 1500
+        send c2 ${write} | wanted too
+        expect s0
+        send s0 200 | stored
+        expect c2";
+
+    // The same while a chunk server has the request.
+    server_is_left_when_its_client_leaves_bytes_behind_the_request: Platform, 1, "
+        send c1 GET /api X-Remaining:9000m Transfer-Encoding:chunked
+        send c1 raw 0\\r\\n\\r\\nmore
+        expect s0
+        send c1 bytes 2000000
+        close c1
+        within 1000 expect s0 left
+        send c2 GET /api X-Remaining:9000m
+        expect s0
+        send c2 bytes 9000000
+        close c2
+        within 1000 expect s0 left";
 }
--- a/tests/scenario/clients.rs
+++ b/tests/scenario/clients.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::connection::{spelled_body, unescape, Connection, Message};
+use super::steps::parse_number;
 use super::{pause, Front, SLOW_POLL_INTERVAL, STEP_TIMEOUT};
 
 /// Headers of a platform request that a script may replace.
@@ -72,7 +73,10 @@
         self.requests += 1;
         let request = match script.strip_prefix("raw ") {
             Some(raw) => unescape(raw),
-            None => self.request(script),
+            None => match script.strip_prefix("bytes ") {
+                Some(count) => vec![b'x'; parse_number(count)],
+                None => self.request(script),
+            },
         };
         let address = self.address;
         let connect = || Client {
@@ -113,10 +117,12 @@
             .iter()
             .map(|(name, value)| format!("{name}: {value}\r\n"))
             .collect();
-        let length = body.len();
-        let head = format!(
-            "{method} {path} HTTP/1.1\r\nHost: t\r\n{headers}Content-Length: {length}\r\n\r\n"
-        );
+        let is_chunked = headers.contains("Transfer-Encoding");
+        let length = match is_chunked {
+            true => String::new(),
+            false => format!("Content-Length: {}\r\n", body.len()),
+        };
+        let head = format!("{method} {path} HTTP/1.1\r\nHost: t\r\n{headers}{length}\r\n");
         [head.as_bytes(), &body].concat()
     }
 
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -3,7 +3,7 @@
 //! step; steps are taken in order:
 //!
 //! - `send c1 GET /path Name:value .. | body`: a request (`shard:0` and the like make X-IO; `raw`
-//!   sends bytes)
+//!   sends bytes, `bytes N` so many of them; with Transfer-Encoding the script sends the chunks)
 //! - `send c1 until s0 GET /path ..`: the same from a client that retries after a 503 with
 //!   Retry-After, until its request is at the server
 //! - `expect s0`: the next request at the server; `expect c1`: the next response at the client
