Remember the ids of writes that may have run, so that none runs twice

Seen: a write of a class that may run at most once; its client leaves while the chunk server has it; a request with the same X-Txn is sent again and runs a second time. The same after the first one has been answered.

Cause: OpenTransactions forgot an id when its request ended, also when it ended because the client had left and the chunk server may still run it.

A rejection frees the id, and idempotent classes are as before.

--- a/src/frontend/platform/mod.rs
+++ b/src/frontend/platform/mod.rs
@@ -5,6 +5,7 @@
 mod request_tables;
 mod streaming;
 mod transactions;
+mod used_ids;
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -16,10 +17,11 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, COOKIE};
 use hyper::http::request::Parts;
 use hyper::{Method, Response, StatusCode};
+use tulipbridge_core::Semantics;
 
 use self::request_parser::single_value;
 use self::streaming::stream_response;
-use self::transactions::OpenTransactions;
+use self::transactions::{IdReuse, Transactions};
 use super::listener::{Handler, ReceivedRequest};
 use super::replies::{health_check, plain, rejected, Reply};
 use crate::body_budget::BodyReservation;
@@ -45,7 +47,7 @@
     /// Changed by a reload of the configuration, so it is borrowed only for single statements.
     tables: Rc<RefCell<RequestTables>>,
     readiness: Readiness,
-    open_transactions: OpenTransactions,
+    transactions: Transactions,
 }
 
 impl Handler for PlatformFront {
@@ -89,7 +91,7 @@
             exchange,
             tables,
             readiness,
-            open_transactions: OpenTransactions::default(),
+            transactions: Transactions::default(),
         }
     }
 
@@ -106,7 +108,7 @@
     ///
     /// # Errors
     /// Returns the response to a request that is malformed, or whose transaction id is in use by
-    /// another open request.
+    /// another open request, or was by one that must not run again.
     async fn forward(&self, request: ReceivedRequest) -> Result<Reply, Reply> {
         let (head, body) = request.into_parts();
         let body = body.map_err(|status| plain(status, "the request is not taken"))?;
@@ -115,15 +117,32 @@
         if head.method == Method::GET && !body.is_empty() {
             return Err(plain(StatusCode::BAD_REQUEST, "a read has no body"));
         }
-        let _transaction = self
-            .open_transactions
-            .open(parsed.transaction_id)
-            .ok_or_else(|| plain(StatusCode::CONFLICT, "X-Txn names a request that is open"))?;
-        let payload = self.build_payload(head, body, parsed.request.class);
+        let class = parsed.request.class;
+        let mut transaction = self
+            .transactions
+            .open(parsed.transaction_id, self.id_reuse(class))
+            .ok_or_else(|| plain(StatusCode::CONFLICT, "X-Txn names another request"))?;
+        let payload = self.build_payload(head, body, class);
         let response = self.exchange.submit(parsed.request, payload).await;
+        if matches!(response, FinalResponse::Rejected(_)) {
+            transaction.rejected();
+        }
         Ok(into_reply(response))
     }
 
+    /// Returns whether another request may have the id of one of this class.
+    fn id_reuse(&self, class: usize) -> IdReuse {
+        let may_be_repeated = self.exchange.with_settings(|settings| {
+            let class = settings.classes.get(class);
+            class.is_some_and(|class| class.semantics == Semantics::Idempotent)
+        });
+        if may_be_repeated {
+            IdReuse::AfterEnd
+        } else {
+            IdReuse::AfterRejection
+        }
+    }
+
     /// Builds the request to the chunk server from a client's request.
     fn build_payload(&self, mut head: Parts, body: Bytes, class: usize) -> Payload {
         let id = head.headers.get(TRANSACTION_ID_HEADER).cloned();
--- a/src/frontend/platform/transactions.rs
+++ b/src/frontend/platform/transactions.rs
@@ -1,34 +1,67 @@
-//! The transaction ids of the open requests of a front.
+//! The transaction ids that a front has seen: those of open requests, and those of requests that may
+//! have run and must not run again.
 
 use std::cell::RefCell;
 use std::collections::HashSet;
 
-/// The set of transactions that are open at a front.
+use super::used_ids::UsedIds;
+
+/// Which requests may have the id of an earlier one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum IdReuse {
+    /// Any that comes once the earlier request has ended: running it again does no harm.
+    AfterEnd,
+    /// Only one that comes after a rejection, which promises that the earlier request has not run.
+    AfterRejection,
+}
+
+/// The transactions that are open at a front, and the latest ones that may not run again.
 #[derive(Default)]
-pub(super) struct OpenTransactions {
-    ids: RefCell<HashSet<u64>>,
+pub(super) struct Transactions {
+    state: RefCell<State>,
 }
 
-impl OpenTransactions {
-    /// Opens a transaction. Returns `None` where one with this id is already open, since two
-    /// requests with the same id cannot be distinguished.
-    pub(super) fn open(&self, id: u64) -> Option<OpenTransaction<'_>> {
-        let inserted = self.ids.borrow_mut().insert(id);
-        inserted.then(|| OpenTransaction {
+#[derive(Default)]
+struct State {
+    open: HashSet<u64>,
+    used: UsedIds,
+}
+
+impl Transactions {
+    /// Opens a transaction. Returns `None` where one with this id is open, since two requests with
+    /// the same id cannot be distinguished, or where one may have run that must not run again. Its
+    /// client may have left, or have an answer.
+    pub(super) fn open(&self, id: u64, reuse: IdReuse) -> Option<OpenTransaction<'_>> {
+        let mut state = self.state.borrow_mut();
+        let is_new = !state.used.contains(id) && state.open.insert(id);
+        is_new.then(|| OpenTransaction {
             transactions: self,
             id,
+            reuse,
         })
     }
 }
 
 /// Guard of an open transaction; dropping it closes the transaction.
 pub(super) struct OpenTransaction<'a> {
-    transactions: &'a OpenTransactions,
+    transactions: &'a Transactions,
     id: u64,
+    reuse: IdReuse,
+}
+
+impl OpenTransaction<'_> {
+    /// Records that the request was rejected, which promises that it has not run.
+    pub(super) fn rejected(&mut self) {
+        self.reuse = IdReuse::AfterEnd;
+    }
 }
 
 impl Drop for OpenTransaction<'_> {
     fn drop(&mut self) {
-        self.transactions.ids.borrow_mut().remove(&self.id);
+        let mut state = self.transactions.state.borrow_mut();
+        state.open.remove(&self.id);
+        if self.reuse == IdReuse::AfterRejection {
+            state.used.insert(self.id);
+        }
     }
 }
--- a/tests/races/disconnects.rs
+++ b/tests/races/disconnects.rs
@@ -163,4 +163,31 @@
         send c2 bytes 9000000
         close c2
         within 1000 expect s0 left";
+
+    // Guards against a write that runs twice, since its id comes again once its client has left, or
+    // has its answer. A rejected write may come again, and so may a read.
+    write_does_not_run_again_under_the_id_of_one_that_may_have_run: Platform, 1, "
+        send c1 ${write} X-Txn:00000000000000f1 | form
+        expect s0
+        close c1
+        wait 100
+        send c2 ${write} X-Txn:00000000000000f1 | form
+        expect c2
+        send s0 200 | stored
+        send c2 ${write} X-Txn:00000000000000f1 | form
+        expect c2
+        send c3 ${write} X-Txn:00000000000000f2 | form
+        expect s0
+        send s0 200 | stored
+        expect c3
+        send c3 ${write} X-Txn:00000000000000f2 | form
+        expect c3
+        send c4 GET /api X-Txn:00000000000000f3
+        expect s0
+        close c4
+        expect s0 left
+        send c5 GET /api X-Txn:00000000000000f3
+        expect s0
+        send s0 200 | read
+        expect c5";
 }
