Share the ids of writes between the processes of an upgrade

Seen: two processes of one front, as during an upgrade; a write is open at one, and a request with its X-Txn comes to the other: it runs there, too. The same once the client of the first has left, and in the other direction.

Cause: each process knows its own transactions only.

Without a usable folder the front logs one line and serves as before.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -16,9 +16,10 @@
 use crate::control::maintenance::{state_folder, wait_until_readable};
 use crate::front::assembly::assemble;
 use crate::front::error::FrontError;
-use crate::frontend::platform::{PlatformFront, RequestTables};
+use crate::frontend::platform::{PlatformFront, RequestTables, SharedIds};
 use crate::frontend::socket::listen;
 use crate::runtime::{hangup_signal, on_one_thread, shutdown_signal};
+use crate::telemetry::log::log;
 
 /// Runs a front on one thread, until SIGTERM or SIGINT.
 ///
@@ -49,7 +50,24 @@
         peers: parts.peers.clone(),
     };
     spawn_local(reload.reload_on_hangup(hangup, Config::reread_from_env));
-    let handler = PlatformFront::new(Rc::clone(&parts.exchange), tables, parts.readiness.clone());
+    let handler = PlatformFront::new(
+        Rc::clone(&parts.exchange),
+        tables,
+        parts.readiness.clone(),
+        open_shared_ids(&config.name),
+    );
     parts.serve(handler, listener, shutdown).await;
     Ok(())
 }
+
+/// Opens the transaction ids that the processes of the front `name` share. Without them, a request
+/// whose id comes again at another process may run twice.
+fn open_shared_ids(name: &str) -> Option<SharedIds> {
+    let folder = state_folder()?;
+    SharedIds::open(&folder, name)
+        .inspect_err(|error| {
+            let folder = folder.display();
+            log!("front: transaction ids are not shared with other processes in {folder}: {error}");
+        })
+        .ok()
+}
--- a/src/frontend/platform/mod.rs
+++ b/src/frontend/platform/mod.rs
@@ -3,6 +3,7 @@
 
 mod request_parser;
 mod request_tables;
+mod shared_ids;
 mod streaming;
 mod transactions;
 mod used_ids;
@@ -30,6 +31,7 @@
 use crate::upstream::{AcceptedResponses, Answer, Payload, Upstream};
 
 pub use self::request_tables::{ReloadedSettings, RequestTables};
+pub use self::shared_ids::SharedIds;
 
 /// Header with the transaction id of a request, 16 hexadecimal digits.
 const TRANSACTION_ID_HEADER: &str = "x-txn";
@@ -81,17 +83,18 @@
 impl PlatformFront {
     /// Creates a front that submits its requests to `exchange`. `tables` contains the names that
     /// requests may use, and may change at a reload. `readiness` determines the answer to the
-    /// readiness check.
+    /// readiness check. `shared_ids` are the transaction ids of other processes of the front.
     pub fn new(
         exchange: Rc<Exchange<Upstream>>,
         tables: Rc<RefCell<RequestTables>>,
         readiness: Readiness,
+        shared_ids: Option<SharedIds>,
     ) -> PlatformFront {
         PlatformFront {
             exchange,
             tables,
             readiness,
-            transactions: Transactions::default(),
+            transactions: Transactions::new(shared_ids),
         }
     }
 
--- a/src/frontend/platform/transactions.rs
+++ b/src/frontend/platform/transactions.rs
@@ -1,9 +1,10 @@
 //! The transaction ids that a front has seen: those of open requests, and those of requests that may
-//! have run and must not run again.
+//! have run and must not run again, here or at another process of the front.
 
 use std::cell::RefCell;
 use std::collections::HashSet;
 
+use super::shared_ids::SharedIds;
 use super::used_ids::UsedIds;
 
 /// Which requests may have the id of an earlier one.
@@ -16,7 +17,6 @@
 }
 
 /// The transactions that are open at a front, and the latest ones that may not run again.
-#[derive(Default)]
 pub(super) struct Transactions {
     state: RefCell<State>,
 }
@@ -25,15 +25,44 @@
 struct State {
     open: HashSet<u64>,
     used: UsedIds,
+    /// `None` where the front has no folder that its processes share.
+    shared: Option<SharedIds>,
+}
+
+impl State {
+    /// Adds an id to the open ones. Returns whether it is new.
+    fn open(&mut self, id: u64, reuse: IdReuse) -> bool {
+        if self.open.contains(&id) {
+            return false;
+        }
+        if let Some(shared) = &mut self.shared {
+            // Written first: of two processes that get the same id now, one finds the other's.
+            if reuse == IdReuse::AfterRejection {
+                shared.publish(id);
+            }
+            shared.read_others(|id| self.used.insert(id));
+        }
+        !self.used.contains(id) && self.open.insert(id)
+    }
 }
 
 impl Transactions {
+    /// Creates a set without transactions, beside those of `shared`.
+    pub(super) fn new(shared: Option<SharedIds>) -> Transactions {
+        let state = State {
+            shared,
+            ..State::default()
+        };
+        Transactions {
+            state: RefCell::new(state),
+        }
+    }
+
     /// Opens a transaction. Returns `None` where one with this id is open, since two requests with
     /// the same id cannot be distinguished, or where one may have run that must not run again. Its
     /// client may have left, or have an answer.
     pub(super) fn open(&self, id: u64, reuse: IdReuse) -> Option<OpenTransaction<'_>> {
-        let mut state = self.state.borrow_mut();
-        let is_new = !state.used.contains(id) && state.open.insert(id);
+        let is_new = self.state.borrow_mut().open(id, reuse);
         is_new.then(|| OpenTransaction {
             transactions: self,
             id,
--- a/tests/races/disconnects.rs
+++ b/tests/races/disconnects.rs
@@ -190,4 +190,30 @@
         expect s0
         send s0 200 | read
         expect c5";
+
+    // Guards against a write that runs at both processes of an upgrade: its id comes to one while it
+    // is open at the other, and once its client has left.
+    write_does_not_run_at_both_processes_of_an_upgrade: Platform, 1, "
+        send c1 ${write} X-Txn:00000000000000f1 | form
+        expect s0
+        send old GET /health/live
+        expect old
+        upgrade
+        send c2 ${write} X-Txn:00000000000000f1 | form
+        expect c2
+        close c1
+        wait 100
+        send c2 ${write} X-Txn:00000000000000f1 | form
+        expect c2
+        send s0 200 | stored
+        send c2 ${write} X-Txn:00000000000000f2 | form
+        expect s0
+        send old ${write} X-Txn:00000000000000f2 | form
+        expect old
+        send s0 200 | stored
+        expect c2
+        send old ${write} X-Txn:00000000000000f3 | form
+        expect s0
+        send s0 200 | stored
+        expect old";
 }
--- a/tests/scenario/clients.rs
+++ b/tests/scenario/clients.rs
@@ -50,6 +50,11 @@
         self.front
     }
 
+    /// Lets further clients connect to another process.
+    pub fn connect_to(&mut self, address: SocketAddr) {
+        self.address = address;
+    }
+
     /// Whether the front says that it is ready.
     pub fn is_front_ready(&self) -> bool {
         let mut connection = Connection::open(self.address);
--- a/tests/scenario/front_process.rs
+++ b/tests/scenario/front_process.rs
@@ -36,6 +36,8 @@
     /// The lock on the file of servers in maintenance, while the test holds it.
     held_file_lock: Option<Flock<File>>,
     running: RunningFront,
+    /// The process before, which still runs.
+    predecessor: Option<RunningFront>,
     folder: PathBuf,
     /// The configuration that the front uses.
     config: String,
@@ -81,6 +83,7 @@
             uses_faults,
             held_file_lock: None,
             running: RunningFront::start(front, &folder, discovery_address, uses_faults),
+            predecessor: None,
             folder,
             config,
         }
@@ -99,6 +102,14 @@
             RunningFront::start(self.front, &self.folder, self.discovery, self.uses_faults);
     }
 
+    /// Starts another process of the front with the same file and folder, as for a new version. The
+    /// steps concern that one from now on.
+    pub fn start_successor(&mut self) {
+        let successor =
+            RunningFront::start(self.front, &self.folder, self.discovery, self.uses_faults);
+        self.predecessor = Some(std::mem::replace(&mut self.running, successor));
+    }
+
     /// Replaces the rules of the fault shim.
     pub fn set_faults(&self, rules: &str) {
         write_rules(&self.folder, rules);
@@ -219,6 +230,9 @@
 impl Drop for FrontProcess {
     fn drop(&mut self) {
         self.running.stop();
+        if let Some(predecessor) = &mut self.predecessor {
+            predecessor.stop();
+        }
         ignore_cleanup_error(std::fs::remove_dir_all(&self.folder));
     }
 }
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -35,6 +35,8 @@
 //!   on, or already at its start if ahead of all other lines; `faults none`: no more
 //! - `restart`: the front is killed and started again, with the same file and folder; its clients
 //!   have to connect anew
+//! - `upgrade`: another process of the front is started with the same file and folder, at a port of
+//!   its own; further clients connect to it
 //! - `memory at-most 48`: whether the front has never had more than so many MiB resident
 //! - `await memory at-most 8`: until the front has at most so many MiB resident, its program file
 //!   not counted
--- a/tests/scenario/steps.rs
+++ b/tests/scenario/steps.rs
@@ -82,6 +82,7 @@
         match verb {
             "faults" => self.front.set_faults(arguments),
             "restart" => self.restart_front(),
+            "upgrade" => self.upgrade_front(),
             "reload" => self.reload(arguments),
             "retune" => self.retune(arguments),
             "signal" => self.front.signal(arguments),
@@ -142,6 +143,12 @@
         self.clients = Clients::new(self.clients.front(), self.front.address());
     }
 
+    /// Starts another process of the front, to which further clients connect.
+    fn upgrade_front(&mut self) {
+        self.front.start_successor();
+        self.clients.connect_to(self.front.address());
+    }
+
     /// Reloads with this file; without one, with discovery at another address.
     fn reload(&mut self, file: &str) {
         let result = if file.is_empty() {
