Allocate the rings of shared ids before they are mapped

By reading: set_len leaves a hole in the file. Where the file system has become full, the first write to a mapped page of the hole raises SIGBUS and ends the process, while all other writes to the folder only fail.

Change: posix_fallocate; where it fails, the front logs that ids are not shared, and serves. The failure itself was not provoked. New tests: each process has a ring of its own until it ends; a missing folder is an error.

--- a/src/frontend/platform/shared_ids.rs
+++ b/src/frontend/platform/shared_ids.rs
@@ -12,7 +12,8 @@
 
 use memmap2::{MmapOptions, MmapRaw};
 use nix::errno::Errno;
-use nix::fcntl::{Flock, FlockArg};
+use nix::fcntl::{posix_fallocate, Flock, FlockArg};
+use nix::libc;
 
 /// Maximum number of processes of one front at a time.
 const MAX_PROCESSES: usize = 4;
@@ -52,7 +53,9 @@
                 .create(true)
                 .truncate(false)
                 .open(path)?;
-            file.set_len(RING_BYTES as u64)?;
+            // Allocated now: a write to a mapped page that the file system has no room for would end
+            // the process.
+            posix_fallocate(&file, 0, RING_BYTES as libc::off_t)?;
             let ring = Ring::map(&file)?;
             match Flock::lock(file, FlockArg::LockExclusiveNonblock) {
                 Ok(lock) if own.is_none() => own = Some((ring, lock)),
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -7,4 +7,5 @@
 mod range;
 mod request_body;
 mod settings_keys;
+mod shared_ids;
 mod upstream;
