--- a/crates/core/src/response_progress.rs
+++ b/crates/core/src/response_progress.rs
@@ -5,7 +5,7 @@
 use crate::time_unit::MILLISECOND;
 
 /// Maximum time from the first byte of a response to the last one of its head, and the time by which
-/// its body may lag behind [`MIN_RATE`]. A server has the complete head before it sends any of it,
+/// its body may lag behind the lowest rate. A server has the complete head before it sends any of it,
 /// and waiting longer for the rest would leave no time for another attempt. It is shorter than the
 /// silence after which the decision module suspects the server, because a stalled response is not
 /// such a silence.
