--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::cell::RefCell;
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
@@ -64,10 +65,18 @@
 
 /// Waits until the peer status of a front contains a text.
 async fn wait_for_status(testbed: &Testbed, front: usize, text: &str) {
+    let last_status = RefCell::new(String::new());
     let is_shown = testbed
-        .wait_for_peers(front, |status| status.contains(text))
+        .wait_for_peers(front, |status| {
+            last_status.replace(status.to_owned());
+            status.contains(text)
+        })
         .await;
-    assert!(is_shown, "the status of front {front} does not show {text}");
+    assert!(
+        is_shown,
+        "the status of front {front} does not show {text}, but {}",
+        last_status.borrow()
+    );
 }
 
 /// Checks that the limit was never exceeded since the fleet started.
