Count and trace what is decided about responses whose servers pause

Need: the incident's logs do not say why the front closed a connection on which a response had begun.

--- a/crates/core/src/response_progress.rs
+++ b/crates/core/src/response_progress.rs
@@ -35,6 +35,16 @@
         self.bytes = self.bytes.saturating_add(count);
     }
 
+    /// Returns the number of bytes that have been read.
+    pub fn bytes(&self) -> Nanos {
+        self.bytes
+    }
+
+    /// Returns the time at `now` since the first byte.
+    pub fn age(&self, now: Nanos) -> Nanos {
+        now - self.started_at
+    }
+
     /// Returns when the response counts as stalled, unless more bytes are read before: when its
     /// server has been slower than 64 kB a second, in pieces of any size, for [`STALL_TIMEOUT`].
     pub fn stalls_at(&self) -> Nanos {
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -11,6 +11,25 @@
 /// The reason why registering a metric cannot fail.
 const UNIQUE_NAME: &str = "the name is registered once";
 
+/// What was decided about a response whose chunk server pauses before it is complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlowResponseDecision {
+    /// What has arrived is passed on to the client, and the rest as it comes.
+    Forwarded,
+    /// The attempt was given up.
+    GivenUp,
+}
+
+impl SlowResponseDecision {
+    /// Returns the name in metrics and in the decision trace.
+    pub fn name(self) -> &'static str {
+        match self {
+            SlowResponseDecision::Forwarded => "forwarded",
+            SlowResponseDecision::GivenUp => "given_up",
+        }
+    }
+}
+
 /// The metrics of one class of requests.
 #[derive(Clone)]
 pub struct ClassMetrics {
@@ -24,6 +43,10 @@
     sends: IntCounter,
     /// Attempts of all classes that were sent in full to chunk servers.
     total_sends: IntCounter,
+    /// Responses whose server paused and that were passed on as they came.
+    slow_forwarded: IntCounter,
+    /// Responses whose server paused and whose attempt was given up.
+    slow_given_up: IntCounter,
 }
 
 impl ClassMetrics {
@@ -41,12 +64,21 @@
         self.sends.inc();
         self.total_sends.inc();
     }
+
+    /// Counts a decision about a response whose server pauses.
+    pub fn count_slow_response(&self, decision: SlowResponseDecision) {
+        match decision {
+            SlowResponseDecision::Forwarded => self.slow_forwarded.inc(),
+            SlowResponseDecision::GivenUp => self.slow_given_up.inc(),
+        }
+    }
 }
 
 /// All metrics of a front.
 pub struct Metrics {
     registry: Registry,
     transactions: IntCounterVec,
+    slow_responses: IntCounterVec,
     sends: IntCounter,
     active_requests: IntGauge,
     cluster_size: IntGauge,
@@ -86,6 +118,12 @@
             "Requests by class and how they ended; attempts written whole",
         );
         let transactions = IntCounterVec::new(transactions, &["group", "state"]).expect(VALID_NAME);
+        let slow_responses = Opts::new(
+            "app_slow_responses",
+            "Responses whose chunk server paused, by what was decided about them",
+        );
+        let slow_responses =
+            IntCounterVec::new(slow_responses, &["group", "decision"]).expect(VALID_NAME);
         let violations = Opts::new(
             "app_invariant_violations",
             "Rules broken by this process's decisions",
@@ -97,6 +135,7 @@
         Metrics {
             violations: registered(&registry, violations),
             transactions: registered(&registry, transactions),
+            slow_responses: registered(&registry, slow_responses),
             sends: counter(
                 &registry,
                 "app_sends",
@@ -142,12 +181,18 @@
     /// is counted.
     pub fn class(&self, name: &str) -> ClassMetrics {
         let counter = |state: &str| self.transactions.with_label_values(&[name, state]);
+        let slow = |decision: SlowResponseDecision| {
+            let labels = [name, decision.name()];
+            self.slow_responses.with_label_values(&labels)
+        };
         ClassMetrics {
             served: counter("answered"),
             rejected: counter("deferred"),
             failed: counter("errored"),
             sends: counter("sends"),
             total_sends: self.sends.clone(),
+            slow_forwarded: slow(SlowResponseDecision::Forwarded),
+            slow_given_up: slow(SlowResponseDecision::GivenUp),
         }
     }
 
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -24,10 +24,12 @@
 use super::payload::{Answer, Payload};
 use super::request_body::RequestBody;
 use super::response::read_response;
+use super::slow_response;
 use super::wire_state::WireState;
 use crate::exchange::{AttemptReport, Withdrawal};
 use crate::memory_budget::Reservation;
 use crate::socket_io::{self, disable_nagle};
+use crate::telemetry::metrics::SlowResponseDecision;
 
 /// Size of hyper's read buffer in bytes; a longer response head is an error.
 const MAX_BUFFER_BYTES: usize = 32 * 1024;
@@ -142,13 +144,15 @@
         let response = tokio::select! {
             biased;
             response = self.sender.send_request(request) => response.map_err(|_| wire.execution())?,
-            () = wire.head_stalled() => return Err(wire.execution()),
+            () = wire.head_stalled() => {
+                slow_response::record(payload, &wire, SlowResponseDecision::GivenUp);
+                return Err(wire.execution());
+            }
         };
         if !wire.connection().is_reading_response() {
             return Err(wire.execution());
         }
-        let accepted = payload.accepted_responses;
-        let report = read_response(response, accepted, self.shard, memory, &wire).await?;
+        let report = read_response(response, payload, self.shard, memory, &wire).await?;
         wire.on(ConnectionEvent::ResponseComplete);
         Ok(report)
     }
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -10,6 +10,7 @@
 mod response;
 pub mod response_memory;
 mod server_table;
+mod slow_response;
 pub mod wire_state;
 
 use std::future::Future;
--- a/src/upstream/response.rs
+++ b/src/upstream/response.rs
@@ -9,12 +9,14 @@
 use tulipbridge_core::server_connection::Execution;
 use tulipbridge_core::{Outcome, ShardId};
 
-use super::payload::{AcceptedResponses, Answer, StreamedBody};
+use super::payload::{AcceptedResponses, Answer, Payload, StreamedBody};
 use super::response_memory::STREAM_BYTES;
+use super::slow_response;
 use super::wire_state::WireState;
 use crate::exchange::AttemptReport;
 use crate::limits::MAX_BUFFERED_BODY_BYTES;
 use crate::memory_budget::Reservation;
+use crate::telemetry::metrics::SlowResponseDecision;
 
 /// Maximum length in bytes that a response may announce for its body; a longer one is an error.
 const MAX_STREAMED_BODY: u64 = 1 << 30;
@@ -25,8 +27,9 @@
 /// Header with the units that the server has served for the volume through other fronts.
 const FOREIGN_UNITS: HeaderName = HeaderName::from_static("x-served-elsewhere");
 
-/// Reads a response with its body. A served response whose body is long, or of unknown length, is
-/// streamed if `accepted` is [`AcceptedResponses::OkOnly`]; `wire` tells when it stalls before that.
+/// Reads the response to `payload` with its body. A served response whose body is long, or of unknown
+/// length, is streamed if `payload` accepts [`AcceptedResponses::OkOnly`]; `wire` tells when it
+/// stalls before that.
 /// The body keeps as much of `memory`, of [`RESPONSE_BYTES`], as it takes.
 ///
 /// [`RESPONSE_BYTES`]: super::response_memory::RESPONSE_BYTES
@@ -37,11 +40,12 @@
 /// no valid response to answer with.
 pub(super) async fn read_response(
     response: Response<Incoming>,
-    accepted: AcceptedResponses,
+    payload: &Payload,
     shard: ShardId,
     mut memory: Reservation,
     wire: &WireState,
 ) -> Result<AttemptReport<Answer>, Execution> {
+    let accepted = payload.accepted_responses;
     let report = read_head(&response, accepted);
     let headers = response.headers();
     let ambiguous = headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING);
@@ -58,12 +62,12 @@
         && served
         && accepted == AcceptedResponses::OkOnly
     {
-        Some(read_streamed(head, body, shard, memory, wire).await?)
+        Some(read_streamed(head, body, payload, shard, memory, wire).await?)
     } else if too_long_to_buffer {
         return Err(Execution::MayHaveRun);
     } else {
         let mut prefix = BodyPrefix::new(&body);
-        let end = prefix.fill(&mut body, wire, |_| false).await?;
+        let end = prefix.fill(&mut body, payload, wire, |_| false).await?;
         if end == PrefixEnd::Full {
             return Err(Execution::MayHaveRun);
         }
@@ -79,6 +83,7 @@
 async fn read_streamed(
     head: Parts,
     mut body: Incoming,
+    payload: &Payload,
     shard: ShardId,
     mut memory: Reservation,
     wire: &WireState,
@@ -87,7 +92,7 @@
     let mut prefix = BodyPrefix::new(&body);
     if length.is_none() {
         let end = prefix
-            .fill(&mut body, wire, WireState::is_response_slow)
+            .fill(&mut body, payload, wire, WireState::is_response_slow)
             .await?;
         if end == PrefixEnd::Complete {
             let bytes = memory.attach(prefix.bytes.freeze());
@@ -126,6 +131,7 @@
     async fn fill(
         &mut self,
         body: &mut Incoming,
+        payload: &Payload,
         wire: &WireState,
         is_enough: impl Fn(&WireState) -> bool,
     ) -> Result<PrefixEnd, Execution> {
@@ -133,7 +139,10 @@
             let frame = tokio::select! {
                 biased;
                 frame = body.frame() => frame,
-                () = wire.response_stalled() => return Err(Execution::MayHaveRun),
+                () = wire.response_stalled() => {
+                    slow_response::record(payload, wire, SlowResponseDecision::GivenUp);
+                    return Err(Execution::MayHaveRun);
+                }
             };
             let Some(frame) = frame else {
                 return Ok(PrefixEnd::Complete);
@@ -148,6 +157,7 @@
             }
             self.bytes.extend_from_slice(&data);
             if is_enough(wire) {
+                slow_response::record(payload, wire, SlowResponseDecision::Forwarded);
                 return Ok(PrefixEnd::Full);
             }
         }
--- a/src/upstream/wire_state.rs
+++ b/src/upstream/wire_state.rs
@@ -122,6 +122,16 @@
         self.progress.set(progress);
     }
 
+    /// Returns the progress of the present response.
+    pub(super) fn progress(&self) -> ResponseProgress {
+        self.progress.get()
+    }
+
+    /// Returns the time since the first byte of the present response.
+    pub(super) fn response_age(&self) -> Nanos {
+        self.progress.get().age(self.clock.now())
+    }
+
     /// Waits until the present response, whose head has been read, has stalled: see
     /// [`ResponseProgress::stalls_at`].
     pub(super) async fn response_stalled(&self) {
