Pass on answers whose servers pause, and give up only what another could replace

What callers saw: answers of 111 to 298 kB in chunks or without a length were refused with 503 although their servers were sound: those that paused 0.79 to 0.97 s between head and body after three attempts of 0.10 s each, those that came in lumps of about 50 kB when the client's time was over.

Change: ResponseProgress says how long a server may pause: three quarters of the time left (0.1 to 2 s). Then the decision module is asked whether the request would be sent again now, by the same rules as a retry; if not, the response is kept. One of unknown length is passed on after 0.1 s if it has kept 64 kB a second, otherwise before its deadline, and given up only while another attempt could pause as long. One that has been passed on and stays silent ends 0.45 s after its client's time, or after a pause of 1.2 s where its body has begun, so that the client of a hung server gets an end. The same holds for a head in pieces. The module learns that a response has begun (Input::ResponseBegan): such an attempt is neither silence nor late, and the server's latency ends at its first byte.

--- a/crates/core/src/interface/events.rs
+++ b/crates/core/src/interface/events.rs
@@ -57,6 +57,17 @@
     ClientDisconnected(RequestId),
     /// A streamed response has begun to arrive.
     ResponseStarted(RequestId),
+    /// The response of an attempt has begun and is not complete yet.
+    ResponseBegan {
+        /// The request that the attempt belongs to.
+        id: RequestId,
+        /// The index of the attempt within its request, from 0.
+        attempt: u32,
+        /// The chunk server that the attempt was sent to.
+        node: NodeId,
+        /// When the first byte of the response arrived.
+        began_at: Nanos,
+    },
     /// An attempt has ended.
     AttemptEnded {
         /// The request that the attempt belongs to.
--- a/crates/core/src/invariant_monitor.rs
+++ b/crates/core/src/invariant_monitor.rs
@@ -134,7 +134,10 @@
                 self.listed
                     .extend(nodes.iter().map(|info| (info.node, info.state)));
             }
-            Input::Overdue(_) | Input::FleetUpdate(_) | Input::Timer(_) => {}
+            Input::ResponseBegan { .. }
+            | Input::Overdue(_)
+            | Input::FleetUpdate(_)
+            | Input::Timer(_) => {}
         }
     }
 
--- a/crates/core/src/policy/health.rs
+++ b/crates/core/src/policy/health.rs
@@ -110,6 +110,11 @@
         silence > longest_silence.max(SILENCE_MIN)
     }
 
+    /// Records that the server gave a sign of life at `at`, which is not a complete answer.
+    pub fn end_silence(&mut self, at: Nanos) {
+        self.last_answer_at = self.last_answer_at.max(at);
+    }
+
     /// Restarts the measurement of silence, after a pause of this front.
     pub fn restart_silence(&mut self, now: Nanos) {
         self.last_answer_at = now;
--- a/crates/core/src/policy/in_flight.rs
+++ b/crates/core/src/policy/in_flight.rs
@@ -32,6 +32,8 @@
     due_at: Nanos,
     /// Whether it was already found overdue while in flight.
     is_counted: bool,
+    /// When its response began, if that is known and the response was not complete then.
+    response_began_at: Option<Nanos>,
 }
 
 impl SentAttempt {
@@ -44,9 +46,17 @@
             expected_latency,
             due_at,
             is_counted: false,
+            response_began_at: None,
         }
     }
 
+    /// Returns how long the server took to begin its response, given the time `took` until the end
+    /// of the attempt.
+    pub fn response_latency(&self, took: Nanos) -> Nanos {
+        self.response_began_at
+            .map_or(took, |began_at| took.min(began_at - self.sent_at))
+    }
+
     /// Returns when the attempt was sent.
     pub fn sent_at(&self) -> Nanos {
         self.sent_at
@@ -125,6 +135,13 @@
         }
     }
 
+    /// Records when the response of an attempt began.
+    pub fn record_response(&mut self, key: AttemptKey, began_at: Nanos) {
+        if let Some(sent) = self.attempts.get_mut(&key) {
+            sent.response_began_at = Some(began_at);
+        }
+    }
+
     /// Returns the number of attempts that still occupy the server. An attempt sent before an
     /// answered one is lost and no longer counts against the window.
     pub fn pending(&self, newest_answered_send: Nanos) -> usize {
@@ -134,18 +151,24 @@
             .count()
     }
 
-    /// Returns when the oldest attempt in flight was sent.
-    pub fn oldest_sent_at(&self) -> Option<Nanos> {
-        self.attempts.values().map(|sent| sent.sent_at).min()
+    /// Returns when the oldest attempt without a response was sent.
+    pub fn oldest_unanswered_at(&self) -> Option<Nanos> {
+        self.unanswered().map(|sent| sent.sent_at).min()
     }
 
-    /// Returns the longest latency expected of any attempt in flight, but at least `minimum`. Both
-    /// are in nanoseconds.
+    /// Returns the longest latency expected of any attempt without a response, but at least
+    /// `minimum`. Both are in nanoseconds.
     pub fn longest_expected_latency(&self, minimum: f64) -> f64 {
-        let expected = self.attempts.values().map(|sent| sent.expected_latency);
+        let expected = self.unanswered().map(|sent| sent.expected_latency);
         expected.fold(minimum, f64::max)
     }
 
+    fn unanswered(&self) -> impl Iterator<Item = &SentAttempt> {
+        self.attempts
+            .values()
+            .filter(|sent| sent.response_began_at.is_none())
+    }
+
     /// Extends the due times of all attempts by the length of a pause of this front.
     pub fn extend_due_times(&mut self, pause: Nanos) {
         for sent in self.attempts.values_mut() {
@@ -161,7 +184,9 @@
         newest_answered_send: Nanos,
         mut on_failure: impl FnMut(usize),
     ) {
-        let overdue = |sent: &&mut SentAttempt| !sent.is_counted && now > sent.due_at;
+        let overdue = |sent: &&mut SentAttempt| {
+            !sent.is_counted && sent.response_began_at.is_none() && now > sent.due_at
+        };
         for sent in self.attempts.values_mut().filter(overdue) {
             sent.is_counted = true;
             if sent.sent_at >= newest_answered_send {
@@ -176,6 +201,8 @@
             let expected_latency = sent.expected_latency.to_bits();
             (key, now - sent.sent_at, expected_latency).hash(hasher);
             (now - sent.due_at, sent.is_counted).hash(hasher);
+            let began_at = sent.response_began_at.map(|began_at| now - began_at);
+            began_at.hash(hasher);
         }
     }
 }
--- a/crates/core/src/policy/node.rs
+++ b/crates/core/src/policy/node.rs
@@ -199,6 +199,12 @@
         self.in_flight.insert(key, sent);
     }
 
+    /// Records that the response of an attempt began at `began_at`, which ends the server's silence.
+    pub fn record_response(&mut self, key: AttemptKey, began_at: Nanos) {
+        self.in_flight.record_response(key, began_at);
+        self.health.end_silence(began_at);
+    }
+
     /// Records whether an attempt was answered in time.
     pub fn record_result(&mut self, result: AttemptResult) {
         self.credit.record_result(result.failed);
@@ -243,7 +249,7 @@
     /// Marks the server as suspect if it is silent, which detects hangs, network partitions, dead
     /// machines and long stalls. Returns whether it has just become suspect.
     pub fn detect_silence(&mut self, now: Nanos) -> bool {
-        let Some(oldest_sent_at) = self.in_flight.oldest_sent_at() else {
+        let Some(oldest_sent_at) = self.in_flight.oldest_unanswered_at() else {
             return false;
         };
         let expected_latency = self.in_flight.longest_expected_latency(self.latency.slow());
--- a/crates/core/src/policy/scheduler/dispatch.rs
+++ b/crates/core/src/policy/scheduler/dispatch.rs
@@ -79,12 +79,7 @@
     /// Removes the request that a server should get now from its queue and returns it.
     fn take_next(&mut self, shard: ShardId, node_id: NodeId) -> Option<RequestId> {
         let node = &self.nodes[node_id];
-        let accepts_request = if node.is_healthy() {
-            node.has_capacity(node.window.size().max(1.0), self.now)
-        } else {
-            node.may_probe(self.now)
-        };
-        if !accepts_request {
+        if !self.accepts_request(node) {
             return None;
         }
         let rules = self.send_rules();
@@ -191,8 +186,17 @@
         self.enqueue(id, actions);
     }
 
+    /// Returns whether a server may get one more request now.
+    pub(super) fn accepts_request(&self, node: &Node) -> bool {
+        if node.is_healthy() {
+            node.has_capacity(node.window.size().max(1.0), self.now)
+        } else {
+            node.may_probe(self.now)
+        }
+    }
+
     /// Returns whether a retry after a failure is allowed and worth the load.
-    fn should_retry(&self, live: &LiveRequest, outcome: Outcome) -> bool {
+    pub(super) fn should_retry(&self, live: &LiveRequest, outcome: Outcome) -> bool {
         // An attempt for a new object that found no connection caused no load at any server.
         let is_free = outcome == Outcome::NotExecuted && live.request().shard.is_none();
         let is_overloaded = self.admission.admitted_fraction(self.now) < 1.0 && !is_free;
--- a/crates/core/src/policy/scheduler/events.rs
+++ b/crates/core/src/policy/scheduler/events.rs
@@ -1,13 +1,13 @@
 //! The handlers of the scheduler's events.
 
+use super::attempts::AttemptEnd;
 use super::Scheduler;
 use crate::interface::{
-    Action, Event, Nanos, NodeId, NodeInfo, Outcome, Request, RequestId, RuntimeCommand, Semantics,
-    UpdateScope,
+    Action, Event, Nanos, NodeInfo, Request, RequestId, RuntimeCommand, Semantics, UpdateScope,
 };
 use crate::mutations::{mutated, Mutation};
-use crate::policy::admission::{AdmissionControl, AdmissionDecision};
-use crate::policy::in_flight::{AttemptKey, AttemptResult, SentAttempt};
+use crate::policy::admission::AdmissionDecision;
+use crate::policy::in_flight::{AttemptKey, AttemptResult};
 use crate::policy::{MILLISECOND, SECOND, TICK_INTERVAL};
 use crate::state::LiveRequest;
 
@@ -15,19 +15,6 @@
 const TICK_COOKIE: u64 = 1;
 /// Without an event for this long, which is many ticks, this front itself was paused.
 const LOCAL_PAUSE_MIN: Nanos = 100 * MILLISECOND;
-/// The minimum relative latency by which an answer is scaled to the mean request.
-const RELATIVE_LATENCY_MIN: f64 = 0.05;
-
-/// The end of an attempt.
-#[derive(Clone, Copy)]
-struct AttemptEnd {
-    key: AttemptKey,
-    node: NodeId,
-    outcome: Outcome,
-    took: Nanos,
-    /// Whether the client has its answer.
-    is_answered: bool,
-}
 
 impl Scheduler {
     /// Handles one event and appends the actions to carry out.
@@ -45,6 +32,18 @@
             Event::Request(request) => self.on_request(request, actions),
             Event::ClientDisconnected(id) => self.on_client_disconnected(id, actions),
             Event::ResponseStarted(id) => self.on_response_started(id),
+            Event::ResponseBegan {
+                id,
+                attempt,
+                node,
+                began_at,
+            } => {
+                let key = AttemptKey {
+                    request: id,
+                    attempt,
+                };
+                self.on_response_began(key, node, began_at);
+            }
             Event::AttemptEnded {
                 id,
                 attempt,
@@ -221,109 +220,6 @@
         }
     }
 
-    fn on_attempt_ended(&mut self, end: AttemptEnd, actions: &mut Vec<Action>) {
-        let id = end.key.request;
-        if end.is_answered {
-            self.record_client_waited(id);
-        }
-        let Some(sent) = self.record_end(end) else {
-            return;
-        };
-        let request = self.requests[id].request().clone();
-        self.settle_key(&request, end.outcome);
-        if end.outcome == Outcome::NotSent && end.key.attempt == 0 {
-            self.volumes.refund(request.volume, request.units);
-        }
-        if end.outcome == Outcome::Served {
-            self.learn_from_answer(&request, end);
-        }
-        self.count_outcome(end, &sent);
-        self.update_health(end, &sent, actions);
-        if self.requests[id].is_finished() {
-            self.finish(id);
-        } else {
-            self.on_failure(id, end.node, end.outcome, actions);
-        }
-        self.dispatch_after_end(&request, end.node, actions);
-    }
-
-    /// Records the end of an attempt and returns the attempt, or `None` if it is unknown.
-    fn record_end(&mut self, end: AttemptEnd) -> Option<SentAttempt> {
-        let live = self.requests.get_mut(end.key.request)?;
-        let sent = self.nodes.get_mut(end.node)?.in_flight.take(end.key)?;
-        live.record_end(end.outcome, sent.sent_at(), end.node);
-        if end.is_answered {
-            live.mark_answered();
-        }
-        Some(sent)
-    }
-
-    /// Holds back the other requests of a key after an attempt that may still be executed.
-    fn settle_key(&mut self, request: &Request, outcome: Outcome) {
-        if let Some(key) = request.key.filter(|_| outcome.may_still_execute()) {
-            let settles_at = self.now + self.settings.order_settle_time;
-            self.key_order.block_until(key, settles_at);
-        }
-    }
-
-    /// Updates the cost of the class and the latency of the server from an answer.
-    fn learn_from_answer(&mut self, request: &Request, end: AttemptEnd) {
-        self.learned_cost.record(request, end.took);
-        let valuation = self.valuation();
-        let relative_latency = valuation.relative_latency(request, &self.nodes[end.node]);
-        let objective = valuation.tightest_objective() as f64;
-        let latency = end.took as f64 / relative_latency.max(RELATIVE_LATENCY_MIN);
-        let fronts = self.settings.fronts();
-        if let Some(node) = self.nodes.get_mut(end.node) {
-            node.window.set_front_count(fronts);
-            node.slow_start.record_served(self.now, request.units);
-            node.record_latency(self.now, latency, objective);
-        }
-    }
-
-    fn count_outcome(&mut self, end: AttemptEnd, sent: &SentAttempt) {
-        let newest_answered_send = self.nodes[end.node].health.newest_answered_send();
-        if let Some(result) = sent.result(end.outcome, end.took, newest_answered_send) {
-            self.record_result(end.node, result);
-        }
-    }
-
-    fn record_result(&mut self, node_id: NodeId, result: AttemptResult) {
-        if let Some(node) = self.nodes.get_mut(node_id) {
-            node.record_result(result);
-            if node.slow_start.is_active() {
-                self.warmup_rates.record_result(result.failed);
-            }
-        }
-        let min_limit = AdmissionControl::min_rate_limit(self.nodes.len(), self.settings.fronts());
-        self.admission
-            .record_result(self.now, result.failed, min_limit);
-    }
-
-    fn update_health(&mut self, end: AttemptEnd, sent: &SentAttempt, actions: &mut Vec<Action>) {
-        let Some(node) = self.nodes.get_mut(end.node) else {
-            return;
-        };
-        if node.record_outcome(self.now, end.outcome, sent.sent_at()) {
-            actions.push(Action::Runtime(RuntimeCommand::Log {
-                text: "node answers again",
-                node: end.node,
-            }));
-        }
-    }
-
-    /// Sends the requests that the end of an attempt allows: those queued at the shard of its
-    /// server and the next request of its key.
-    fn dispatch_after_end(&mut self, request: &Request, node: NodeId, actions: &mut Vec<Action>) {
-        let shard = self.nodes[node].shard();
-        self.dispatch(shard, actions);
-        let next = request.key.and_then(|key| self.key_order.first(key));
-        let next_shard = next.and_then(|id| self.requests.get(id)?.shard());
-        if let Some(next_shard) = next_shard.filter(|next_shard| *next_shard != shard) {
-            self.dispatch(next_shard, actions);
-        }
-    }
-
     fn on_tick(&mut self, actions: &mut Vec<Action>) {
         actions.push(Action::Runtime(RuntimeCommand::SetTimer {
             after: TICK_INTERVAL,
--- a/crates/core/src/policy/scheduler/mod.rs
+++ b/crates/core/src/policy/scheduler/mod.rs
@@ -1,9 +1,10 @@
 //! The scheduler, which coordinates all decisions: its components, settings and updates from the
 //! fleet.
 //!
-//! [`events`] handles each kind of event; [`dispatch`] sends queued requests to chunk servers or
-//! gives them their final answers.
+//! [`events`] handles each kind of event, [`attempts`] those of attempts; [`dispatch`] sends queued
+//! requests to chunk servers or gives them their final answers.
 
+mod attempts;
 mod dispatch;
 mod events;
 
--- a/crates/core/src/request_tracker.rs
+++ b/crates/core/src/request_tracker.rs
@@ -86,6 +86,9 @@
                 };
                 self.attempt_ended(now, end, effects);
             }
+            Input::ResponseBegan { id, attempt, age } => {
+                self.response_began(now, id, attempt, age, effects);
+            }
             Input::AttemptTimedOut { id, attempt } => {
                 let outcome = if mutated(Mutation::TimeoutCountsAsNotExecuted) {
                     Outcome::NotExecuted
--- a/crates/core/src/request_tracker/attempts.rs
+++ b/crates/core/src/request_tracker/attempts.rs
@@ -93,6 +93,36 @@
         }
     }
 
+    /// Handles a response that began the time `age` ago and is not complete yet.
+    pub(super) fn response_began(
+        &mut self,
+        now: Nanos,
+        id: RequestId,
+        attempt: u32,
+        age: Nanos,
+        effects: &mut Vec<Effect>,
+    ) {
+        let request = self.requests.get_mut(&id);
+        let Some(in_flight) = request.and_then(|request| request.attempt_mut(attempt)) else {
+            return;
+        };
+        let event = Event::ResponseBegan {
+            id,
+            attempt,
+            node: in_flight.node,
+            began_at: now - age,
+        };
+        self.decide(now, event, effects);
+    }
+
+    /// Returns whether a request would be sent again at once if its attempt in flight ended now
+    /// without a complete response.
+    pub fn would_retry(&self, now: Nanos, id: RequestId, attempt: u32) -> bool {
+        let request = self.requests.get(&id).filter(|request| !request.answered);
+        let in_flight = request.and_then(|request| request.attempt(attempt));
+        in_flight.is_some_and(|in_flight| self.decisions.would_retry(now, id, in_flight))
+    }
+
     /// Handles the end of an attempt. The first attempt that is served answers its request.
     pub(super) fn attempt_ended(&mut self, now: Nanos, end: AttemptEnd, effects: &mut Vec<Effect>) {
         let id = end.id;
--- a/crates/core/src/request_tracker/in_flight.rs
+++ b/crates/core/src/request_tracker/in_flight.rs
@@ -34,6 +34,13 @@
     }
 
     /// Returns the attempt with a number, if it is in flight.
+    pub(super) fn attempt(&self, attempt: u32) -> Option<&InFlightAttempt> {
+        self.in_flight
+            .iter()
+            .find(|in_flight| in_flight.attempt == attempt)
+    }
+
+    /// Returns the attempt with a number for changes, if it is in flight.
     pub(super) fn attempt_mut(&mut self, attempt: u32) -> Option<&mut InFlightAttempt> {
         self.in_flight
             .iter_mut()
--- a/crates/core/src/request_tracker/messages.rs
+++ b/crates/core/src/request_tracker/messages.rs
@@ -28,6 +28,15 @@
         /// Units that the chunk server served for the volume through other fronts.
         foreign_units: f64,
     },
+    /// The response of an attempt has begun and is not complete yet.
+    ResponseBegan {
+        /// The request that the attempt belongs to.
+        id: RequestId,
+        /// The number of the attempt within the request, from 0.
+        attempt: u32,
+        /// The time since the first byte of the response.
+        age: Nanos,
+    },
     /// The timeout of an attempt expired, and the transport dropped the attempt.
     AttemptTimedOut {
         /// The request that the attempt belongs to.
--- a/src/exchange/effects.rs
+++ b/src/exchange/effects.rs
@@ -7,9 +7,10 @@
 use tulipbridge_core::request_tracker::{Effect, FinalAnswer, Input};
 use tulipbridge_core::{Nanos, NodeId, RequestId, RuntimeCommand};
 
+use super::attempt_observer::ExchangeObserver;
 use super::attempt_run::{run_attempt, AttemptKey, InputWithAnswer};
 use super::state::{AnswerSender, AttemptStart};
-use super::transport::Transport;
+use super::transport::{AttemptContext, Transport};
 use super::withdrawal::SendLimits;
 use super::{Exchange, FinalResponse};
 use crate::telemetry::log::log;
@@ -143,6 +144,7 @@
         let start = self.state.borrow().attempt_start(key, limits);
         let Some(AttemptStart {
             class,
+            client_deadline,
             payload,
             withdrawal,
         }) = start
@@ -153,9 +155,13 @@
             fleet_state.attempt_sent(key, node, class);
         }
         let deadline = self.clock.instant(limits.deadline);
-        let attempt = self
-            .transport
-            .attempt(node, payload, deadline, withdrawal.clone());
+        let context = AttemptContext {
+            deadline,
+            client_deadline,
+            withdrawal: withdrawal.clone(),
+            observer: Rc::new(ExchangeObserver::new(self, key)),
+        };
+        let attempt = self.transport.attempt(node, payload, context);
         let exchange = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let ended = run_attempt(key, attempt, deadline, withdrawal).await;
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -8,6 +8,7 @@
 //! not borrowed during calls of the transport, the violation observer and
 //! [`FleetState::attempt_sent`], so that these may read from the exchange.
 
+mod attempt_observer;
 mod attempt_run;
 mod clock;
 mod effects;
@@ -17,7 +18,7 @@
 
 use std::cell::{OnceCell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::{oneshot, Notify};
 use tokio::time::timeout;
@@ -32,7 +33,7 @@
 
 pub use self::attempt_run::AttemptKey;
 pub use self::clock::Clock;
-pub use self::transport::{AttemptReport, Transport};
+pub use self::transport::{AttemptContext, AttemptObserver, AttemptReport, Transport};
 pub use self::withdrawal::Withdrawal;
 
 /// Time after the deadline of a request at which it is failed if the tracker has not answered it.
@@ -210,11 +211,12 @@
         let arrived_at = self.state.borrow_mut().earliest_arrival(now);
         request.client_timeout = (request.client_timeout - (now - arrived_at)).max(0);
         let client_timeout = Duration::from_nanos(request.client_timeout as u64);
+        let client_deadline = Instant::now() + client_timeout;
         let (sender, mut answer) = oneshot::channel();
         let id = self
             .state
             .borrow_mut()
-            .register(request.class, payload, sender);
+            .register(request.class, payload, client_deadline, sender);
         request.id = id;
         let disconnect_guard = DisconnectGuard { exchange: self, id };
         self.handle(Input::RequestReceived(request));
--- a/src/exchange/state.rs
+++ b/src/exchange/state.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Instant;
 
 use tokio::sync::oneshot;
 use tulipbridge_core::invariant_monitor::{InvariantMonitor, Violation};
@@ -26,6 +27,8 @@
     /// Shared by the attempts of the request.
     payload: Rc<P>,
     class: usize,
+    /// When the client stops waiting.
+    client_deadline: Instant,
     /// `None` once the final answer has been sent.
     answer: Option<AnswerSender<A>>,
     /// Cancels and withdraws attempts of the request.
@@ -36,6 +39,8 @@
 pub(super) struct AttemptStart<P> {
     /// The class of the request.
     pub class: usize,
+    /// When the client stops waiting.
+    pub client_deadline: Instant,
     /// The request to send to the chunk server.
     pub payload: Rc<P>,
     /// Receives the commands to the attempt.
@@ -110,11 +115,18 @@
     }
 
     /// Assigns an id to a request and stores its payload and the sender for its answer.
-    pub fn register(&mut self, class: usize, payload: P, answer: AnswerSender<A>) -> RequestId {
+    pub fn register(
+        &mut self,
+        class: usize,
+        payload: P,
+        client_deadline: Instant,
+        answer: AnswerSender<A>,
+    ) -> RequestId {
         let id = self.tracker.allocate_id();
         let pending = PendingRequest {
             payload: Rc::new(payload),
             class,
+            client_deadline,
             answer: Some(answer),
             commands: CommandSender::new(),
         };
@@ -132,6 +144,12 @@
         effects
     }
 
+    /// Returns whether a request would be sent again at once if its attempt ended now without a
+    /// complete response.
+    pub fn would_retry(&self, now: Nanos, key: AttemptKey) -> bool {
+        self.tracker.would_retry(now, key.request, key.attempt)
+    }
+
     /// Returns the violation of a rule of requests by an effect that is about to be carried out, if
     /// there is one.
     pub fn check_effect(&mut self, now: Nanos, effect: &Effect) -> Option<Violation> {
@@ -143,6 +161,7 @@
         let pending = self.pending.get(&key.request)?;
         Some(AttemptStart {
             class: pending.class,
+            client_deadline: pending.client_deadline,
             payload: Rc::clone(&pending.payload),
             withdrawal: pending.commands.withdrawal(key.attempt, limits),
         })
--- a/src/exchange/transport.rs
+++ b/src/exchange/transport.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tulipbridge_core::{NodeId, Outcome};
 
@@ -31,6 +31,28 @@
     }
 }
 
+/// Connects a running attempt to the decision module.
+pub trait AttemptObserver {
+    /// Records that the response of the attempt began the time `age` ago and is not complete yet.
+    fn response_began(&self, age: Duration);
+
+    /// Returns whether the request would be sent again at once if this attempt ended now without a
+    /// complete response.
+    fn would_retry(&self) -> bool;
+}
+
+/// What an attempt may do, and until when.
+pub struct AttemptContext {
+    /// When the attempt times out.
+    pub deadline: Instant,
+    /// When the client stops waiting for an answer, which is not before `deadline`.
+    pub client_deadline: Instant,
+    /// Receives the commands to the attempt.
+    pub withdrawal: Withdrawal,
+    /// The connection to the decision module.
+    pub observer: Rc<dyn AttemptObserver>,
+}
+
 /// Carries attempts to chunk servers.
 pub trait Transport: 'static {
     /// A request to a chunk server.
@@ -52,7 +74,6 @@
         &self,
         node: NodeId,
         payload: Rc<Self::Payload>,
-        deadline: Instant,
-        withdrawal: Withdrawal,
+        context: AttemptContext,
     ) -> impl Future<Output = AttemptReport<Self::Answer>> + 'static;
 }
--- a/src/frontend/forwarded_body.rs
+++ b/src/frontend/forwarded_body.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use serde::Serialize;
-use tokio::time::{sleep, Sleep};
+use tokio::time::{sleep_until, Sleep};
 
 use crate::telemetry::trace;
 use crate::upstream::StreamedBody;
@@ -62,6 +62,9 @@
     streamed: Option<StreamedBody>,
     /// Ends when the server has been silent for too long; runs only while a frame is awaited.
     silence: Option<Pin<Box<Sleep>>>,
+    /// When the body is given up if its server, which has sent its head or little more, does not go
+    /// on to write.
+    resume_by: Option<Instant>,
     started: Instant,
     length: Option<u64>,
     bytes_forwarded: usize,
@@ -72,6 +75,7 @@
     pub(super) fn new(streamed: StreamedBody) -> ForwardedBody {
         ForwardedBody {
             length: streamed.length,
+            resume_by: streamed.resume_by,
             streamed: Some(streamed),
             silence: None,
             started: Instant::now(),
@@ -84,17 +88,21 @@
         let Some(streamed) = &mut self.streamed else {
             return Poll::Ready(Err(StreamEnd::Complete));
         };
+        let is_buffered = streamed.has_buffered_part();
         match streamed.poll_part(cx) {
             Poll::Ready(Some(Ok(data))) => {
                 self.silence = None;
+                self.resume_by = self.resume_by.filter(|_| is_buffered);
                 Poll::Ready(Ok(data))
             }
             Poll::Ready(Some(Err(_))) => Poll::Ready(Err(StreamEnd::ServerFailed)),
             Poll::Ready(None) => Poll::Ready(Err(StreamEnd::Complete)),
             Poll::Pending => {
-                let silence = self
-                    .silence
-                    .get_or_insert_with(|| Box::pin(sleep(SERVER_SILENCE_TIMEOUT)));
+                let resume_by = self.resume_by;
+                let silence = self.silence.get_or_insert_with(|| {
+                    let given_up_at = resume_by.unwrap_or(Instant::now() + SERVER_SILENCE_TIMEOUT);
+                    Box::pin(sleep_until(given_up_at.into()))
+                });
                 ready!(silence.as_mut().poll(cx));
                 Poll::Ready(Err(StreamEnd::ServerSilent))
             }
--- a/src/telemetry/trace/events.rs
+++ b/src/telemetry/trace/events.rs
@@ -44,6 +44,14 @@
     /// The deadline of a request has passed.
     #[serde(rename = "overdue")]
     Overdue { id: u64 },
+    /// The response of an attempt has begun and is not complete yet.
+    #[serde(rename = "began")]
+    ResponseBegan {
+        id: u64,
+        attempt: u32,
+        #[serde(rename = "ms")]
+        age_ms: f64,
+    },
     /// An attempt has ended.
     #[serde(rename = "ended")]
     AttemptEnded {
@@ -145,6 +153,11 @@
             outcome: outcome_name(*outcome),
             observed_use: Some(*observed_use),
         },
+        Input::ResponseBegan { id, attempt, age } => TraceEvent::ResponseBegan {
+            id: id.0,
+            attempt: *attempt,
+            age_ms: *age as f64 / NANOS_PER_MICROSECOND / MICROS_PER_MILLISECOND,
+        },
         Input::AttemptTimedOut { id, attempt } => attempt_without_use(*id, *attempt, "time_up"),
         Input::AttemptCancelled { id, attempt } => attempt_without_use(*id, *attempt, "stopped"),
         Input::Endpoints { scope, nodes } => TraceEvent::Endpoints {
--- a/src/upstream/attempt_run.rs
+++ b/src/upstream/attempt_run.rs
@@ -1,7 +1,6 @@
 //! Carries out one attempt in the steps that its state machine requests.
 
 use std::rc::Rc;
-use std::time::Instant;
 
 use tulipbridge_core::attempt::{Attempt, AttemptEvent, AttemptStep};
 use tulipbridge_core::server_connection::Execution;
@@ -10,7 +9,7 @@
 use super::connection::PooledConnection;
 use super::connections::Connections;
 use super::payload::{Answer, Payload};
-use crate::exchange::{AttemptReport, Withdrawal};
+use crate::exchange::{AttemptContext, AttemptReport};
 use crate::memory_budget::Reservation;
 
 /// An attempt in progress to send a request to a chunk server.
@@ -18,8 +17,7 @@
     connections: Rc<Connections>,
     node: NodeId,
     payload: Rc<Payload>,
-    deadline: Instant,
-    withdrawal: Withdrawal,
+    context: AttemptContext,
     /// The memory for the response, once it was acquired.
     response_memory: Option<Reservation>,
     /// The connection that was acquired for the next send.
@@ -32,15 +30,13 @@
         connections: Rc<Connections>,
         node: NodeId,
         payload: Rc<Payload>,
-        deadline: Instant,
-        withdrawal: Withdrawal,
+        context: AttemptContext,
     ) -> AttemptRun {
         AttemptRun {
             connections,
             node,
             payload,
-            deadline,
-            withdrawal,
+            context,
             response_memory: None,
             connection: None,
         }
@@ -86,7 +82,7 @@
     async fn dial(&mut self) -> AttemptEvent {
         tokio::select! {
             biased;
-            outcome = self.withdrawal.withdrawn() => return AttemptEvent::Withdrawn(outcome),
+            outcome = self.context.withdrawal.withdrawn() => return AttemptEvent::Withdrawn(outcome),
             dialed = self.connections.dial(self.node) => self.connection = dialed,
         }
         match self.connection {
@@ -105,9 +101,7 @@
         let Some((mut connection, memory)) = acquired else {
             return Err(AttemptEvent::ConnectionBroke(Execution::MayHaveRun));
         };
-        let result = connection
-            .send(&self.payload, self.deadline, &self.withdrawal, memory)
-            .await;
+        let result = connection.send(&self.payload, &self.context, memory).await;
         let mut report = result.map_err(|execution| self.failure(execution))?;
         let streamed = report
             .answer
@@ -131,7 +125,7 @@
     /// Returns the event for an attempt without a valid response. A request that has begun to be
     /// written can no longer be withdrawn.
     fn failure(&self, execution: Execution) -> AttemptEvent {
-        match (execution, self.withdrawal.outcome()) {
+        match (execution, self.context.withdrawal.outcome()) {
             (Execution::NotStarted, Some(outcome)) => AttemptEvent::Withdrawn(outcome),
             _ => AttemptEvent::ConnectionBroke(execution),
         }
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -23,13 +23,12 @@
 use super::open_connections::OpenSlot;
 use super::payload::{Answer, Payload};
 use super::request_body::RequestBody;
-use super::response::read_response;
-use super::slow_response;
+use super::response::ResponseReader;
+use super::response_limits::ResponseLimits;
 use super::wire_state::WireState;
-use crate::exchange::{AttemptReport, Withdrawal};
+use crate::exchange::{AttemptContext, AttemptReport};
 use crate::memory_budget::Reservation;
 use crate::socket_io::{self, disable_nagle};
-use crate::telemetry::metrics::SlowResponseDecision;
 
 /// Size of hyper's read buffer in bytes; a longer response head is an error.
 const MAX_BUFFER_BYTES: usize = 32 * 1024;
@@ -121,8 +120,7 @@
     pub async fn send(
         &mut self,
         payload: &Payload,
-        deadline: Instant,
-        withdrawal: &Withdrawal,
+        context: &AttemptContext,
         memory: Reservation,
     ) -> Result<AttemptReport<Answer>, Execution> {
         self.sender
@@ -130,12 +128,9 @@
             .await
             .map_err(|_| Execution::NotStarted)?;
         let wire = Rc::clone(&self.wire);
-        let mut request = build_request(payload, deadline);
-        wire.begin_request(
-            payload.body.len(),
-            payload.metrics.clone(),
-            withdrawal.clone(),
-        );
+        let mut request = build_request(payload, context.deadline);
+        wire.begin_request(payload.body.len(), payload.metrics.clone(), context);
+        let limits = ResponseLimits::new(payload, context, &wire);
         // Informational responses before the final one are counted and otherwise ignored.
         let responses = wire.response_counter();
         on_informational(&mut request, move |_| {
@@ -144,15 +139,13 @@
         let response = tokio::select! {
             biased;
             response = self.sender.send_request(request) => response.map_err(|_| wire.execution())?,
-            () = wire.head_stalled() => {
-                slow_response::record(payload, &wire, SlowResponseDecision::GivenUp);
-                return Err(wire.execution());
-            }
+            () = limits.head_given_up() => return Err(wire.execution()),
         };
         if !wire.connection().is_reading_response() {
             return Err(wire.execution());
         }
-        let report = read_response(response, payload, self.shard, memory, &wire).await?;
+        let reader = ResponseReader::new(payload, self.shard, &limits);
+        let report = reader.read(response, memory).await?;
         wire.on(ConnectionEvent::ResponseComplete);
         Ok(report)
     }
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -8,21 +8,21 @@
 pub mod payload;
 pub mod request_body;
 mod response;
+mod response_limits;
 pub mod response_memory;
 mod server_table;
-mod slow_response;
 pub mod wire_state;
 
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tulipbridge_core::{NodeId, ShardId};
 
 use self::attempt_run::AttemptRun;
 use self::connections::Connections;
-use crate::exchange::{AttemptReport, Transport, Withdrawal};
+use crate::exchange::{AttemptContext, AttemptReport, Transport};
 
 pub use self::payload::{AcceptedResponses, Answer, Payload, StreamedBody};
 pub use self::response_memory::ResponseMemory;
@@ -89,10 +89,9 @@
         &self,
         node: NodeId,
         payload: Rc<Payload>,
-        deadline: Instant,
-        withdrawal: Withdrawal,
+        context: AttemptContext,
     ) -> impl Future<Output = AttemptReport<Answer>> + 'static {
         let connections = Rc::clone(&self.connections);
-        AttemptRun::new(connections, node, payload, deadline, withdrawal).run()
+        AttemptRun::new(connections, node, payload, context).run()
     }
 }
--- a/src/upstream/payload.rs
+++ b/src/upstream/payload.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
+use std::time::Instant;
 
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -71,6 +72,9 @@
     body: Incoming,
     /// The length of the whole body in bytes, where the server announced it.
     pub length: Option<u64>,
+    /// When the body is given up if no part follows those that were read before; absent where the
+    /// server has not lagged.
+    pub resume_by: Option<Instant>,
     /// Returns the connection to the pool when called; dropping it closes the connection.
     release_connection: Option<Box<dyn FnOnce()>>,
     /// The memory of the parts of the body that are on their way.
@@ -84,6 +88,7 @@
         beginning: [Bytes; 2],
         body: Incoming,
         length: Option<u64>,
+        resume_by: Option<Instant>,
         memory: Reservation,
     ) -> StreamedBody {
         let beginning = beginning.into_iter().filter(|part| !part.is_empty());
@@ -91,6 +96,7 @@
             beginning: beginning.collect(),
             body,
             length,
+            resume_by,
             release_connection: None,
             _memory: memory,
         }
@@ -113,6 +119,11 @@
         }
     }
 
+    /// Returns whether the next part was read before streaming started.
+    pub fn has_buffered_part(&self) -> bool {
+        !self.beginning.is_empty()
+    }
+
     /// Returns whether all parts of a body of known length have been taken.
     pub fn is_complete(&self) -> bool {
         self.beginning.is_empty() && self.body.is_end_stream()
--- a/src/upstream/response.rs
+++ b/src/upstream/response.rs
@@ -10,9 +10,8 @@
 use tulipbridge_core::{Outcome, ShardId};
 
 use super::payload::{AcceptedResponses, Answer, Payload, StreamedBody};
+use super::response_limits::{PartialResponse, ResponseLimits};
 use super::response_memory::STREAM_BYTES;
-use super::slow_response;
-use super::wire_state::WireState;
 use crate::exchange::AttemptReport;
 use crate::limits::MAX_BUFFERED_BODY_BYTES;
 use crate::memory_budget::Reservation;
@@ -27,82 +26,106 @@
 /// Header with the units that the server has served for the volume through other fronts.
 const FOREIGN_UNITS: HeaderName = HeaderName::from_static("x-served-elsewhere");
 
-/// Reads the response to `payload` with its body. A served response whose body is long, or of unknown
-/// length, is streamed if `payload` accepts [`AcceptedResponses::OkOnly`]; `wire` tells when it
-/// stalls before that.
-/// The body keeps as much of `memory`, of [`RESPONSE_BYTES`], as it takes.
-///
-/// [`RESPONSE_BYTES`]: super::response_memory::RESPONSE_BYTES
-///
-/// # Errors
-/// Returns [`Execution::MayHaveRun`] for an informational response and one that is too long,
-/// truncated, stalled or ambiguous in its framing: the request may have been executed, and there is
-/// no valid response to answer with.
-pub(super) async fn read_response(
-    response: Response<Incoming>,
-    payload: &Payload,
+/// Reads the response to an attempt.
+pub(super) struct ResponseReader<'a> {
+    payload: &'a Payload,
+    /// The shard of the server.
     shard: ShardId,
-    mut memory: Reservation,
-    wire: &WireState,
-) -> Result<AttemptReport<Answer>, Execution> {
-    let accepted = payload.accepted_responses;
-    let report = read_head(&response, accepted);
-    let headers = response.headers();
-    let ambiguous = headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING);
-    let size = response.body().size_hint();
-    if response.status().is_informational() || ambiguous || size.lower() > MAX_STREAMED_BODY {
-        return Err(Execution::MayHaveRun);
+    /// Tell when a response that pauses is given up or passed on.
+    limits: &'a ResponseLimits<'a>,
+}
+
+impl<'a> ResponseReader<'a> {
+    /// Creates a reader of the response to `payload` from a server of `shard`.
+    pub fn new(
+        payload: &'a Payload,
+        shard: ShardId,
+        limits: &'a ResponseLimits<'a>,
+    ) -> ResponseReader<'a> {
+        ResponseReader {
+            payload,
+            shard,
+            limits,
+        }
     }
-    // A body of unknown length ends with its connection, which a reset cuts off early.
-    let length_unknown = size.exact().is_none();
-    let too_long_to_buffer = size.lower() > MAX_BUFFERED_BODY_BYTES as u64;
-    let served = report.outcome == Outcome::Served;
-    let (head, mut body) = response.into_parts();
-    let answer = if (length_unknown || too_long_to_buffer)
-        && served
-        && accepted == AcceptedResponses::OkOnly
-    {
-        Some(read_streamed(head, body, payload, shard, memory, wire).await?)
-    } else if too_long_to_buffer {
-        return Err(Execution::MayHaveRun);
-    } else {
-        let mut prefix = BodyPrefix::new(&body);
-        let end = prefix.fill(&mut body, payload, wire, |_| false).await?;
-        if end == PrefixEnd::Full {
+
+    /// Reads a response with its body. A served response whose body is long, or of unknown length,
+    /// is streamed if the payload accepts [`AcceptedResponses::OkOnly`]. The body keeps as much of
+    /// `memory`, of [`RESPONSE_BYTES`], as it takes.
+    ///
+    /// [`RESPONSE_BYTES`]: super::response_memory::RESPONSE_BYTES
+    ///
+    /// # Errors
+    /// Returns [`Execution::MayHaveRun`] for an informational response and one that is too long,
+    /// truncated, stalled or ambiguous in its framing: the request may have been executed, and there
+    /// is no valid response to answer with.
+    pub async fn read(
+        &self,
+        response: Response<Incoming>,
+        mut memory: Reservation,
+    ) -> Result<AttemptReport<Answer>, Execution> {
+        let accepted = self.payload.accepted_responses;
+        let report = read_head(&response, accepted);
+        let headers = response.headers();
+        let ambiguous =
+            headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING);
+        let size = response.body().size_hint();
+        if response.status().is_informational() || ambiguous || size.lower() > MAX_STREAMED_BODY {
             return Err(Execution::MayHaveRun);
         }
-        let bytes = memory.attach(prefix.bytes.freeze());
-        served.then(|| answer_with(head, shard, bytes, None))
-    };
-    Ok(AttemptReport { answer, ..report })
-}
-
-/// Returns an answer whose body is streamed. A body of unknown length is buffered first, since it may
-/// be short: it is streamed once more than [`MAX_BUFFERED_BODY_BYTES`] bytes have arrived or its
-/// server turns out to write it slowly. One that ends before that is answered whole.
-async fn read_streamed(
-    head: Parts,
-    mut body: Incoming,
-    payload: &Payload,
-    shard: ShardId,
-    mut memory: Reservation,
-    wire: &WireState,
-) -> Result<Answer, Execution> {
-    let length = body.size_hint().exact();
-    let mut prefix = BodyPrefix::new(&body);
-    if length.is_none() {
-        let end = prefix
-            .fill(&mut body, payload, wire, WireState::is_response_slow)
-            .await?;
-        if end == PrefixEnd::Complete {
+        // A body of unknown length ends with its connection, which a reset cuts off early.
+        let length_unknown = size.exact().is_none();
+        let too_long_to_buffer = size.lower() > MAX_BUFFERED_BODY_BYTES as u64;
+        let served = report.outcome == Outcome::Served;
+        let (head, mut body) = response.into_parts();
+        let answer = if (length_unknown || too_long_to_buffer)
+            && served
+            && accepted == AcceptedResponses::OkOnly
+        {
+            Some(self.read_streamed(head, body, memory).await?)
+        } else if too_long_to_buffer {
+            return Err(Execution::MayHaveRun);
+        } else {
+            let mut prefix = BodyPrefix::new(&body);
+            let partial = PartialResponse::MustBeComplete;
+            let end = prefix.fill(&mut body, self.limits, partial).await?;
+            if end != PrefixEnd::Complete {
+                return Err(Execution::MayHaveRun);
+            }
             let bytes = memory.attach(prefix.bytes.freeze());
-            return Ok(answer_with(head, shard, bytes, None));
+            served.then(|| answer_with(head, self.shard, bytes, None))
+        };
+        Ok(AttemptReport { answer, ..report })
+    }
+
+    /// Returns an answer whose body is streamed. A body of unknown length is buffered first, since
+    /// it may be short: it is streamed once more than [`MAX_BUFFERED_BODY_BYTES`] bytes have arrived
+    /// or its server turns out to write it slowly. One that ends before that is answered whole.
+    async fn read_streamed(
+        &self,
+        head: Parts,
+        mut body: Incoming,
+        mut memory: Reservation,
+    ) -> Result<Answer, Execution> {
+        let length = body.size_hint().exact();
+        let mut prefix = BodyPrefix::new(&body);
+        let mut resume_by = None;
+        if length.is_none() {
+            let partial = PartialResponse::MayBeForwarded;
+            match prefix.fill(&mut body, self.limits, partial).await? {
+                PrefixEnd::Complete => {
+                    let bytes = memory.attach(prefix.bytes.freeze());
+                    return Ok(answer_with(head, self.shard, bytes, None));
+                }
+                PrefixEnd::Full => {}
+                PrefixEnd::Paused => resume_by = Some(self.limits.resume_by()),
+            }
         }
+        let beginning = [memory.attach(prefix.bytes.freeze()), prefix.next];
+        let memory = memory.split(STREAM_BYTES);
+        let streamed = StreamedBody::new(beginning, body, length, resume_by, memory);
+        Ok(answer_with(head, self.shard, Bytes::new(), Some(streamed)))
     }
-    let beginning = [memory.attach(prefix.bytes.freeze()), prefix.next];
-    let memory = memory.split(STREAM_BYTES);
-    let streamed = StreamedBody::new(beginning, body, length, memory);
-    Ok(answer_with(head, shard, Bytes::new(), Some(streamed)))
 }
 
 /// The first bytes of a body, up to [`MAX_BUFFERED_BODY_BYTES`].
@@ -123,25 +146,27 @@
         }
     }
 
-    /// Reads until the body ends, more of it has arrived than fits, or `is_enough` holds for the
-    /// parts that have arrived.
+    /// Reads until the body ends, more of it has arrived than fits or, if `partial` allows it, what
+    /// has arrived is passed on.
     ///
     /// # Errors
     /// Returns [`Execution::MayHaveRun`] if the body is truncated or malformed, or stalls.
     async fn fill(
         &mut self,
         body: &mut Incoming,
-        payload: &Payload,
-        wire: &WireState,
-        is_enough: impl Fn(&WireState) -> bool,
+        limits: &ResponseLimits<'_>,
+        partial: PartialResponse,
     ) -> Result<PrefixEnd, Execution> {
         loop {
             let frame = tokio::select! {
                 biased;
                 frame = body.frame() => frame,
-                () = wire.response_stalled() => {
-                    slow_response::record(payload, wire, SlowResponseDecision::GivenUp);
-                    return Err(Execution::MayHaveRun);
+                decision = limits.reached(partial) => {
+                    limits.record(decision);
+                    return match decision {
+                        SlowResponseDecision::GivenUp => Err(Execution::MayHaveRun),
+                        SlowResponseDecision::Forwarded => Ok(PrefixEnd::Paused),
+                    };
                 }
             };
             let Some(frame) = frame else {
@@ -156,8 +181,8 @@
                 return Ok(PrefixEnd::Full);
             }
             self.bytes.extend_from_slice(&data);
-            if is_enough(wire) {
-                slow_response::record(payload, wire, SlowResponseDecision::Forwarded);
+            if partial == PartialResponse::MayBeForwarded && limits.is_slow() {
+                limits.record(SlowResponseDecision::Forwarded);
                 return Ok(PrefixEnd::Full);
             }
         }
@@ -171,6 +196,8 @@
     Complete,
     /// The prefix has what it can take, and the body goes on.
     Full,
+    /// The server has paused, and may have hung.
+    Paused,
 }
 
 /// Returns the answer made of a response head and a body, which is empty if the body is streamed.
--- a/src/upstream/wire_state.rs
+++ b/src/upstream/wire_state.rs
@@ -11,12 +11,12 @@
 use tokio::sync::Notify;
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, Instant};
-use tulipbridge_core::response_progress::{ResponseProgress, STALL_TIMEOUT};
+use tulipbridge_core::response_progress::{ResponseDeadlines, ResponseProgress};
 use tulipbridge_core::send_permission::SendDenied;
 use tulipbridge_core::server_connection::{ConnectionEvent, Execution, ServerConnection};
 use tulipbridge_core::Nanos;
 
-use crate::exchange::Withdrawal;
+use crate::exchange::{AttemptContext, Withdrawal};
 use crate::socket_io::has_unread_bytes;
 use crate::telemetry::metrics::ClassMetrics;
 
@@ -41,6 +41,11 @@
         self.opened_at.elapsed().as_nanos() as Nanos
     }
 
+    fn nanos(&self, instant: std::time::Instant) -> Nanos {
+        let elapsed = Instant::from_std(instant).saturating_duration_since(self.opened_at);
+        Nanos::try_from(elapsed.as_nanos()).unwrap_or(Nanos::MAX)
+    }
+
     fn instant(&self, time: Nanos) -> Instant {
         self.opened_at + Duration::from_nanos(time.max(0) as u64)
     }
@@ -60,6 +65,8 @@
     last_response_seen: Cell<u64>,
     /// The progress of the latest response that has started.
     progress: Cell<ResponseProgress>,
+    /// The deadlines of the present attempt.
+    deadlines: Cell<ResponseDeadlines>,
     clock: WireClock,
     /// Notified at the first byte of each response.
     response_started: Notify,
@@ -93,10 +100,14 @@
         &self,
         body_length: usize,
         metrics: Option<ClassMetrics>,
-        withdrawal: Withdrawal,
+        context: &AttemptContext,
     ) {
+        self.deadlines.set(ResponseDeadlines {
+            attempt: self.clock.nanos(context.deadline),
+            client: self.clock.nanos(context.client_deadline),
+        });
         *self.metrics.borrow_mut() = metrics;
-        *self.withdrawal.borrow_mut() = Some(withdrawal);
+        *self.withdrawal.borrow_mut() = Some(context.withdrawal.clone());
         self.on(ConnectionEvent::RequestAssigned);
         self.head_end_matched.set(0);
         self.unwritten_body_bytes.set(body_length);
@@ -113,67 +124,47 @@
     pub(super) fn bytes_received(&self, count: usize) {
         self.on(ConnectionEvent::BytesReceived);
         let response = self.responses_started.load(Ordering::Relaxed);
+        let now = self.clock.now();
         if self.last_response_seen.replace(response) != response {
-            self.progress.set(ResponseProgress::new(self.clock.now()));
+            self.progress
+                .set(ResponseProgress::new(now, self.deadlines.get()));
             self.response_started.notify_one();
         }
         let mut progress = self.progress.get();
-        progress.bytes_read(count);
+        progress.bytes_read(now, count);
         self.progress.set(progress);
     }
 
-    /// Returns the progress of the present response.
-    pub(super) fn progress(&self) -> ResponseProgress {
-        self.progress.get()
+    /// Returns the time since the connection was opened.
+    pub(super) fn now(&self) -> Nanos {
+        self.clock.now()
     }
 
-    /// Returns the time since the first byte of the present response.
-    pub(super) fn response_age(&self) -> Nanos {
-        self.progress.get().age(self.clock.now())
+    /// Converts a time since the connection was opened.
+    pub(super) fn instant(&self, time: Nanos) -> std::time::Instant {
+        self.clock.instant(time).into_std()
     }
 
-    /// Waits until the present response, whose head has been read, has stalled: see
-    /// [`ResponseProgress::stalls_at`].
-    pub(super) async fn response_stalled(&self) {
-        loop {
-            let stalls_at = self.progress.get().stalls_at();
-            if self.clock.now() >= stalls_at {
-                return;
-            }
-            self.sleep_until(stalls_at).await;
-        }
-    }
-
-    /// Returns whether the present response, of which bytes have just been read, is a slow one: see
-    /// [`ResponseProgress::is_slow`].
-    pub(super) fn is_response_slow(&self) -> bool {
-        self.progress.get().is_slow(self.clock.now())
+    /// Returns the progress of the latest response.
+    pub(super) fn progress(&self) -> ResponseProgress {
+        self.progress.get()
     }
 
-    async fn sleep_until(&self, time: Nanos) {
+    /// Sleeps until a time since the connection was opened.
+    pub(super) async fn sleep_until(&self, time: Nanos) {
         sleep_until(self.clock.instant(time)).await;
         // If this process itself was paused, data that arrived meanwhile is read first.
         yield_now().await;
     }
 
-    /// Waits until a response has started and its head is not complete within [`STALL_TIMEOUT`].
-    pub(super) async fn head_stalled(&self) {
-        loop {
-            self.response_started.notified().await;
-            let response = self.last_response_seen.get();
-            if !self.is_current_response(response) {
-                continue;
-            }
-            let stalls_at = self.clock.now() + STALL_TIMEOUT;
-            self.sleep_until(stalls_at).await;
-            if self.is_current_response(response) {
-                return;
-            }
-        }
+    /// Waits until a response has started and returns its number.
+    pub(super) async fn response_started(&self) -> u64 {
+        self.response_started.notified().await;
+        self.last_response_seen.get()
     }
 
     /// Returns whether `response` is still the number of the latest response.
-    fn is_current_response(&self, response: u64) -> bool {
+    pub(super) fn is_current_response(&self, response: u64) -> bool {
         self.responses_started.load(Ordering::Relaxed) == response
     }
 
--- a/tests/fronts/server_responses.rs
+++ b/tests/fronts/server_responses.rs
@@ -119,4 +119,81 @@
         expect s0
         send s0 200 | again
         expect c1";
+
+    // Guards against sound answers that are given up because their body begins late, in each framing.
+    late_body_in_chunks_is_passed_on: Platform, 1, "
+        send c1 GET /api X-Lane:batch-export X-Remaining:8000m
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n
+        wait 500
+        more s0 4\\r\\nlate\\r\\n0\\r\\n\\r\\n
+        expect c1";
+
+    late_body_with_a_length_is_passed_on: Platform, 1, "
+        send c1 GET /api X-Lane:batch-export X-Remaining:8000m
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\nContent-Length: 4\\r\\n\\r\\n
+        wait 500
+        more s0 late
+        expect c1";
+
+    late_body_without_a_length_is_passed_on: Platform, 1, "
+        send c1 GET /api X-Lane:batch-export X-Remaining:8000m
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\n\\r\\n
+        wait 500
+        more s0 *100000
+        end s0
+        expect c1";
+
+    // The same for a server that pauses within its head.
+    response_whose_head_comes_in_pieces_is_passed_on: Platform, 1, "
+        send c1 GET /api X-Lane:batch-export X-Remaining:8000m
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\nContent-
+        wait 500
+        more s0 Length: 4\\r\\n\\r\\nlate
+        expect c1";
+
+    // The same for a class that is not repeated, whose client has little time left: it gets the head
+    // in time.
+    response_that_nothing_replaces_is_passed_on_before_its_deadline: Platform, 1, "
+        send c1 ${write} X-Remaining:600m | form
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n
+        wait 750
+        more s0 186a0\\r\\n
+        more s0 *100000
+        more s0 \\r\\n0\\r\\n\\r\\n
+        expect c1";
+
+    // Guards against a first piece that is held back until its client's time is over.
+    beginning_of_a_response_that_pauses_is_not_held_back: Platform, 1, "
+        send c1 GET /api X-Remaining:600m
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\nc350\\r\\n
+        more s0 *50000
+        wait 900
+        more s0 \\r\\nc350\\r\\n
+        more s0 *50000
+        more s0 \\r\\n0\\r\\n\\r\\n
+        expect c1";
+
+    // Guards against a server that hangs behind its head and leaves its client without an end.
+    response_that_hangs_behind_its_head_ends_soon_after_its_deadline: Platform, 1, "
+        send c1 ${write} X-Remaining:1200m | form
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n
+        within 3000 expect c1
+        expect s0 raw left";
+
+    // Guards against a server that gets no requests because it writes its answers slowly.
+    server_that_pauses_in_a_response_is_not_suspected: Platform, 1, "
+        send c1 GET /api X-Lane:batch-export X-Remaining:8000m
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\nContent-Length: 4\\r\\n\\r\\n
+        wait 500
+        send console GET /status/metrics app_cluster_unhealthy
+        more s0 late
+        expect c1";
 }
