Test pauses in a response at the object front and across a shutdown

Related paths of the pauses within a response: a piece of an object whose body begins late, with a length and in chunks, and a shutdown between head and body.

--- a/tests/fronts/objects.rs
+++ b/tests/fronts/objects.rs
@@ -63,6 +63,25 @@
         send s0 412
         expect c1";
 
+    // Guards against a sound server that is given up because its body begins late.
+    object_whose_body_begins_late_is_served: Object, 1, "
+        settings \"read\":\"form-read\" => \"read\":\"batch-export\"
+        send c1 GET /photos/a?versionId=0.v1
+        expect s0
+        send s0 raw HTTP/1.1 206 Part\\r\\nETag: 'e1'\\r\\nContent-Range: bytes 0-9/10\\r\\nContent-Length: 10\\r\\n\\r\\n
+        wait 500
+        more s0 0123456789
+        expect c1";
+
+    object_whose_chunks_begin_late_is_served: Object, 1, "
+        settings \"read\":\"form-read\" => \"read\":\"batch-export\"
+        send c1 GET /photos/a?versionId=0.v1
+        expect s0
+        send s0 raw HTTP/1.1 206 Part\\r\\nETag: 'e1'\\r\\nContent-Range: bytes 0-9/10\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n
+        wait 500
+        more s0 a\\r\\n0123456789\\r\\n0\\r\\n\\r\\n
+        expect c1";
+
     // Guards against a long object that is cut off since a slow server's next piece is rejected.
     large_object_is_streamed_whole_where_its_server_is_slow: Object, 1, "
         settings \"read\":\"form-read\" => \"read\":\"batch-export\"
--- a/tests/races/shutdown.rs
+++ b/tests/races/shutdown.rs
@@ -69,6 +69,19 @@
         expect c1
         wait front";
 
+    // Guards against a sound answer that a shutdown cuts off between its head and its body.
+    shutdown_waits_for_a_response_whose_body_begins_late: Platform, 1, "
+        send c1 GET /api X-Lane:batch-export X-Remaining:2500m
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\n\\r\\n
+        close front
+        wait 600
+        more s0 *100000
+        wait 300
+        end s0
+        expect c1
+        wait front";
+
     // Guards against long responses that are cut off since their requests' time is over.
     shutdown_waits_for_a_long_response_that_its_server_still_writes: Platform, 1, "
         send c1 GET /api
