Soak servers that pause within a response, and kills at the earliest time

Change: the fault ServerPauses (0.25 s before each half of a body, every second response in chunks), which clients of the soak can read; a restart is SIGHUP, two SIGTERM and SIGKILL 1.9 s after the first, if the process has not ended.

The new test of the checker covers both sides of the 0.7 s.

--- a/crates/testbed/src/soak/checker/requests.rs
+++ b/crates/testbed/src/soak/checker/requests.rs
@@ -7,6 +7,8 @@
 
 /// How long after the deadline a response may come.
 const RESPONSE_SLACK: Duration = Duration::from_millis(500);
+/// How long after SIGTERM a request may come that a kill leaves without a response.
+const SHUTDOWN_INTAKE: Duration = Duration::from_millis(700);
 /// Within which time an incomplete request must be answered or closed.
 const INCOMPLETE_REQUEST_LIMIT: Duration = Duration::from_secs(3);
 
@@ -45,7 +47,17 @@
 fn may_lack_response(recording: &Recording, request: &ClientRequest) -> bool {
     let pause = recording.pause_within(request.front, request.sent_at, request.ended_at);
     let is_paused = pause > Duration::ZERO && request.end == End::TimedOut;
-    is_paused || was_killed(recording, request.front, request.sent_at, request.ended_at)
+    let was_killed = was_killed(recording, request.front, request.sent_at, request.ended_at);
+    is_paused || (was_killed && !is_owed_by_shutdown(recording, request))
+}
+
+/// Whether a request came so late after SIGTERM that not even a kill excuses the lack of a response.
+fn is_owed_by_shutdown(recording: &Recording, request: &ClientRequest) -> bool {
+    recording.processes_of(request.front).any(|process| {
+        let owed_from = process.terminated_at.map(|at| at + SHUTDOWN_INTAKE);
+        let is_killed_later = process.killed_at.is_some_and(|at| request.sent_at <= at);
+        is_killed_later && owed_from.is_some_and(|owed_from| request.sent_at > owed_from)
+    })
 }
 
 /// Checks that each incomplete request was answered or closed in time.
--- a/crates/testbed/src/soak/fault.rs
+++ b/crates/testbed/src/soak/fault.rs
@@ -33,6 +33,8 @@
     ServerSlow,
     /// A server rejects half of its requests.
     ServerRejects,
+    /// A server pauses behind the head of each response, and within its body.
+    ServerPauses,
     /// A server closes connections after each response without announcing it.
     ServerCloses,
     /// Discovery closes connections.
@@ -63,7 +65,7 @@
 
 impl Fault {
     /// All faults.
-    pub const ALL: [Fault; 25] = [
+    pub const ALL: [Fault; 26] = [
         Fault::FrontRestarted,
         Fault::FrontKilled,
         Fault::FrontPausedBriefly,
@@ -76,6 +78,7 @@
         Fault::ServerResets,
         Fault::ServerSlow,
         Fault::ServerRejects,
+        Fault::ServerPauses,
         Fault::ServerCloses,
         Fault::DiscoveryDown,
         Fault::DiscoverySilent,
--- a/crates/testbed/src/soak/fault_injection.rs
+++ b/crates/testbed/src/soak/fault_injection.rs
@@ -62,6 +62,7 @@
         | Fault::ServerResets
         | Fault::ServerSlow
         | Fault::ServerRejects
+        | Fault::ServerPauses
         | Fault::ServerCloses => inject_server_fault(&environment, &scheduled, duration).await,
         Fault::DiscoveryDown | Fault::DiscoverySilent | Fault::DiscoverySlow => {
             let discovery = environment.discovery();
@@ -84,7 +85,7 @@
 /// Injects a fault of the process of a front.
 async fn inject_front_fault(front: &Front, fault: Fault, duration: Duration) {
     match fault {
-        Fault::FrontRestarted => front.restart(Signal::SIGTERM).await,
+        Fault::FrontRestarted => front.restart_at_the_earliest().await,
         Fault::FrontKilled => front.restart(Signal::SIGKILL).await,
         Fault::FrontPausedBriefly => {
             for _ in 0..BRIEF_PAUSES {
--- a/crates/testbed/src/soak/front.rs
+++ b/crates/testbed/src/soak/front.rs
@@ -56,6 +56,12 @@
     pub discovery: SocketAddr,
 }
 
+/// How long after SIGTERM a process may be killed at the earliest: the longest deadline of the
+/// soak's classes and 0.7 s.
+const EARLIEST_KILL: Duration = Duration::from_millis(1_900);
+/// How long after the first SIGTERM the second one is sent.
+const SECOND_SIGNAL_DELAY: Duration = Duration::from_millis(300);
+
 /// A front, whose process is killed when this value is dropped.
 pub struct Front {
     setup: FrontSetup,
@@ -264,6 +270,27 @@
         leave_to_checker(self.start().await);
     }
 
+    /// Makes the process reload its configuration and shut down, asks it to do so again, and kills
+    /// it at the earliest time if it has not ended; then starts another one.
+    pub async fn restart_at_the_earliest(&self) {
+        let violations = self.violations().await;
+        self.update_record(|record, _| record.violations += violations);
+        self.signal(Signal::SIGHUP);
+        self.signal(Signal::SIGTERM);
+        let kill_at = Instant::now() + EARLIEST_KILL;
+        sleep(SECOND_SIGNAL_DELAY).await;
+        if let Some(child) = &*self.child.borrow() {
+            best_effort::send_signal(child, Signal::SIGTERM);
+        }
+        while !self.reap() {
+            if Instant::now() >= kill_at {
+                return self.restart(Signal::SIGKILL).await;
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+        leave_to_checker(self.start().await);
+    }
+
     /// Records the end of the process, if it has ended; returns whether it has.
     pub fn reap(&self) -> bool {
         let status = self
--- a/crates/testbed/src/soak/server.rs
+++ b/crates/testbed/src/soak/server.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, AbortHandle};
 
@@ -18,6 +19,10 @@
 const LATENCY: Duration = Duration::from_millis(12);
 /// How long a request takes at a slow server.
 const SLOW_LATENCY: Duration = Duration::from_millis(500);
+/// How long a server that pauses does so before each half of a body.
+const BODY_PAUSE: Duration = Duration::from_millis(250);
+/// A server that pauses announces no length in every second response.
+const UNKNOWN_LENGTH_ONE_IN: u64 = 2;
 /// A server that rejects requests rejects every second one.
 const REJECTED_ONE_IN: u64 = 2;
 /// A server that resets connections does so at every third request.
@@ -132,8 +137,13 @@
                 Some(Fault::ServerSlow) => tokio::time::sleep(SLOW_LATENCY).await,
                 _ => tokio::time::sleep(LATENCY).await,
             }
-            let response = response(&message, is_rejected);
-            let written = write.write_all(response.as_bytes()).await;
+            let written = if fault == Some(Fault::ServerPauses) {
+                let is_chunked = number % UNKNOWN_LENGTH_ONE_IN == 0;
+                write_with_pauses(&mut write, &message, is_chunked).await
+            } else {
+                let response = response(&message, is_rejected);
+                write.write_all(response.as_bytes()).await
+            };
             if written.is_err() || fault == Some(Fault::ServerCloses) {
                 return;
             }
@@ -168,3 +178,33 @@
     let length = transaction.len();
     format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{transaction}")
 }
+
+/// Writes a success that repeats the transaction id, with a pause before each half of its body.
+async fn write_with_pauses(
+    write: &mut OwnedWriteHalf,
+    request: &Message,
+    is_chunked: bool,
+) -> std::io::Result<()> {
+    let transaction = request.header("x-txn").unwrap_or_default();
+    let framing = if is_chunked {
+        "Transfer-Encoding: chunked".to_owned()
+    } else {
+        format!("Content-Length: {}", transaction.len())
+    };
+    let head = format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n");
+    write.write_all(head.as_bytes()).await?;
+    let (first, second) = transaction.split_at(transaction.len() / 2);
+    for half in [first, second] {
+        tokio::time::sleep(BODY_PAUSE).await;
+        let part = if is_chunked {
+            format!("{:x}\r\n{half}\r\n", half.len())
+        } else {
+            half.to_owned()
+        };
+        write.write_all(part.as_bytes()).await?;
+    }
+    if is_chunked {
+        write.write_all(b"0\r\n\r\n").await?;
+    }
+    Ok(())
+}
--- a/crates/testbed/src/soak/wire.rs
+++ b/crates/testbed/src/soak/wire.rs
@@ -8,6 +8,8 @@
 const MAX_HEAD: usize = 16 * 1024;
 /// What separates the head of a message from its body.
 const HEAD_END: &[u8] = b"\r\n\r\n";
+/// What ends a line.
+const LINE_END: &[u8] = b"\r\n";
 
 /// A complete message.
 pub struct Message {
@@ -82,6 +84,10 @@
             body: Vec::new(),
             first_byte_at: first_byte_at.unwrap_or_else(Instant::now),
         };
+        if message.header("transfer-encoding") == Some("chunked") {
+            message.body = self.chunked_body().await?;
+            return Some(message);
+        }
         let length = message
             .header("content-length")
             .and_then(|length| length.parse().ok())
@@ -93,6 +99,35 @@
         Some(message)
     }
 
+    /// A body in chunks; `None` if the connection ends before it is complete, or it is malformed.
+    async fn chunked_body(&mut self) -> Option<Vec<u8>> {
+        let mut body = Vec::new();
+        loop {
+            let size = usize::from_str_radix(self.line().await?.trim(), 16).ok()?;
+            while self.buffer.len() < size + LINE_END.len() {
+                self.fill().await?;
+            }
+            body.extend(self.buffer.drain(..size));
+            self.buffer.drain(..LINE_END.len());
+            if size == 0 {
+                return Some(body);
+            }
+        }
+    }
+
+    /// The next line, without its end.
+    async fn line(&mut self) -> Option<String> {
+        loop {
+            let mut windows = self.buffer.windows(LINE_END.len());
+            if let Some(length) = windows.position(|window| window == LINE_END) {
+                let line = String::from_utf8_lossy(&self.buffer[..length]).into_owned();
+                self.buffer.drain(..length + LINE_END.len());
+                return Some(line);
+            }
+            self.fill().await?;
+        }
+    }
+
     /// The length of the head in the buffer, in bytes, if it is complete.
     fn buffered_head_length(&self) -> Option<usize> {
         let mut windows = self.buffer.windows(HEAD_END.len());
--- a/crates/testbed/tests/soak_checker.rs
+++ b/crates/testbed/tests/soak_checker.rs
@@ -188,6 +188,19 @@
     assert_eq!(rules(&calm), [Rule::ColdServer]);
 }
 
+/// Guards against a kill that excuses requests which a front that shuts down must answer or not take.
+#[test]
+fn kill_after_a_shutdown_excuses_only_requests_that_came_soon_after_its_signal() {
+    for (sent_after_signal, expected) in [(ms(600), &[][..]), (ms(800), &[Rule::Lost][..])] {
+        let mut recording = recording(Class::Read, End::Closed, &[]);
+        recording.processes[0].terminated_at = Some(ms(10_000) - sent_after_signal);
+        recording.processes[0].killed_at = Some(ms(10_100));
+        recording.processes[0].ended_at = Some(ms(10_100));
+        recording.processes[0].exit_code = None;
+        assert_eq!(rules(&recording), expected, "{sent_after_signal:?}");
+    }
+}
+
 #[test]
 fn seed_has_the_same_faults_each_time_and_they_overlap() {
     let mut drawn: Vec<Fault> = Vec::new();
