Suspect a server that hangs behind the heads of its responses

Found with a test of the related paths, before any caller saw it: since a response is passed on during a pause, its attempt counts as served at once.

Cause: the server was judged by an answer that was not there yet.

Change: the decision module learns that a response is passed on during a pause, and does not judge the server by that attempt. Where the server does not go on, it is a lost attempt for its health; three make it suspect.

--- a/crates/core/src/interface/events.rs
+++ b/crates/core/src/interface/events.rs
@@ -68,6 +68,17 @@
         /// When the first byte of the response arrived.
         began_at: Nanos,
     },
+    /// The response of an attempt is passed on although its server pauses, and may have hung.
+    ResponsePaused {
+        /// The request that the attempt belongs to.
+        id: RequestId,
+        /// The index of the attempt within its request, from 0.
+        attempt: u32,
+        /// The chunk server that the attempt was sent to.
+        node: NodeId,
+    },
+    /// This server did not go on with a response that was passed on during a pause.
+    ResponseStopped(NodeId),
     /// An attempt has ended.
     AttemptEnded {
         /// The request that the attempt belongs to.
--- a/crates/core/src/invariant_monitor.rs
+++ b/crates/core/src/invariant_monitor.rs
@@ -135,6 +135,8 @@
                     .extend(nodes.iter().map(|info| (info.node, info.state)));
             }
             Input::ResponseBegan { .. }
+            | Input::ResponsePaused { .. }
+            | Input::ResponseStopped(_)
             | Input::Overdue(_)
             | Input::FleetUpdate(_)
             | Input::Timer(_) => {}
--- a/crates/core/src/policy/in_flight.rs
+++ b/crates/core/src/policy/in_flight.rs
@@ -20,6 +20,13 @@
     pub attempt: u32,
 }
 
+impl AttemptKey {
+    /// Creates the key of attempt number `attempt` of `request`.
+    pub fn new(request: RequestId, attempt: u32) -> AttemptKey {
+        AttemptKey { request, attempt }
+    }
+}
+
 /// What is recorded of an attempt when it is sent.
 #[derive(Clone, Debug)]
 pub(crate) struct SentAttempt {
@@ -34,6 +41,8 @@
     is_counted: bool,
     /// When its response began, if that is known and the response was not complete then.
     response_began_at: Option<Nanos>,
+    /// Whether its response is passed on while its server pauses.
+    is_paused: bool,
 }
 
 impl SentAttempt {
@@ -47,9 +56,16 @@
             due_at,
             is_counted: false,
             response_began_at: None,
+            is_paused: false,
         }
     }
 
+    /// Returns whether its response was passed on while its server paused, so that it says nothing
+    /// about the server yet.
+    pub fn is_paused(&self) -> bool {
+        self.is_paused
+    }
+
     /// Returns how long the server took to begin its response, given the time `took` until the end
     /// of the attempt.
     pub fn response_latency(&self, took: Nanos) -> Nanos {
@@ -142,6 +158,13 @@
         }
     }
 
+    /// Records that the response of an attempt is passed on while its server pauses.
+    pub fn record_pause(&mut self, key: AttemptKey) {
+        if let Some(sent) = self.attempts.get_mut(&key) {
+            sent.is_paused = true;
+        }
+    }
+
     /// Returns the number of attempts that still occupy the server. An attempt sent before an
     /// answered one is lost and no longer counts against the window.
     pub fn pending(&self, newest_answered_send: Nanos) -> usize {
@@ -202,7 +225,7 @@
             (key, now - sent.sent_at, expected_latency).hash(hasher);
             (now - sent.due_at, sent.is_counted).hash(hasher);
             let began_at = sent.response_began_at.map(|began_at| now - began_at);
-            began_at.hash(hasher);
+            (began_at, sent.is_paused).hash(hasher);
         }
     }
 }
--- a/crates/core/src/policy/scheduler/attempts.rs
+++ b/crates/core/src/policy/scheduler/attempts.rs
@@ -32,6 +32,21 @@
         }
     }
 
+    /// Handles a response that is passed on although its server pauses.
+    pub(super) fn on_response_paused(&mut self, key: AttemptKey, node: NodeId) {
+        if let Some(node) = self.nodes.get_mut(node) {
+            node.in_flight.record_pause(key);
+        }
+    }
+
+    /// Handles a response that was passed on during a pause and did not go on: for the health of its
+    /// server it is a lost attempt.
+    pub(super) fn on_response_stopped(&mut self, node: NodeId) {
+        if let Some(node) = self.nodes.get_mut(node) {
+            node.record_outcome(self.now, Outcome::Reset, self.now);
+        }
+    }
+
     /// Returns whether a request would be sent again at once if its attempt in flight, sent to
     /// `node_id` at `sent_at`, ended at `now` without a complete response.
     pub fn would_retry(&self, now: Nanos, id: RequestId, node_id: NodeId, sent_at: Nanos) -> bool {
@@ -76,11 +91,9 @@
         if end.outcome == Outcome::NotSent && end.key.attempt == 0 {
             self.volumes.refund(request.volume, request.units);
         }
-        if end.outcome == Outcome::Served {
-            self.learn_from_answer(&request, end);
+        if !sent.is_paused() {
+            self.judge_server(&request, end, &sent, actions);
         }
-        self.count_outcome(end, &sent);
-        self.update_health(end, &sent, actions);
         if self.requests[id].is_finished() {
             self.finish(id);
         } else {
@@ -89,6 +102,21 @@
         self.dispatch_after_end(&request, end.node, actions);
     }
 
+    /// Updates what is known of the server with the end of an attempt.
+    fn judge_server(
+        &mut self,
+        request: &Request,
+        end: AttemptEnd,
+        sent: &SentAttempt,
+        actions: &mut Vec<Action>,
+    ) {
+        if end.outcome == Outcome::Served {
+            self.learn_from_answer(request, end);
+        }
+        self.count_outcome(end, sent);
+        self.update_health(end, sent, actions);
+    }
+
     /// Records the end of an attempt and returns the attempt, or `None` if it is unknown.
     fn record_end(&mut self, end: AttemptEnd) -> Option<SentAttempt> {
         let live = self.requests.get_mut(end.key.request)?;
--- a/crates/core/src/policy/scheduler/dispatch.rs
+++ b/crates/core/src/policy/scheduler/dispatch.rs
@@ -154,10 +154,7 @@
             self.retry_history.record_retry(self.now);
             self.fleet_limits.record_retry(self.now);
         }
-        let key = AttemptKey {
-            request: id,
-            attempt,
-        };
+        let key = AttemptKey::new(id, attempt);
         node.record_send(key, sent, units, &self.settings);
     }
 
--- a/crates/core/src/policy/scheduler/events.rs
+++ b/crates/core/src/policy/scheduler/events.rs
@@ -38,12 +38,14 @@
                 node,
                 began_at,
             } => {
-                let key = AttemptKey {
-                    request: id,
-                    attempt,
-                };
+                let key = AttemptKey::new(id, attempt);
                 self.on_response_began(key, node, began_at);
             }
+            Event::ResponsePaused { id, attempt, node } => {
+                let key = AttemptKey::new(id, attempt);
+                self.on_response_paused(key, node);
+            }
+            Event::ResponseStopped(node) => self.on_response_stopped(node),
             Event::AttemptEnded {
                 id,
                 attempt,
@@ -54,10 +56,7 @@
                 ..
             } => {
                 let end = AttemptEnd {
-                    key: AttemptKey {
-                        request: id,
-                        attempt,
-                    },
+                    key: AttemptKey::new(id, attempt),
                     node,
                     outcome,
                     took,
--- a/crates/core/src/request_tracker.rs
+++ b/crates/core/src/request_tracker.rs
@@ -89,6 +89,12 @@
             Input::ResponseBegan { id, attempt, age } => {
                 self.response_began(now, id, attempt, age, effects);
             }
+            Input::ResponsePaused { id, attempt } => {
+                self.response_paused(now, id, attempt, effects);
+            }
+            Input::ResponseStopped(node) => {
+                self.decide(now, Event::ResponseStopped(node), effects);
+            }
             Input::AttemptTimedOut { id, attempt } => {
                 let outcome = if mutated(Mutation::TimeoutCountsAsNotExecuted) {
                     Outcome::NotExecuted
--- a/crates/core/src/request_tracker/attempts.rs
+++ b/crates/core/src/request_tracker/attempts.rs
@@ -102,17 +102,34 @@
         age: Nanos,
         effects: &mut Vec<Effect>,
     ) {
-        let request = self.requests.get_mut(&id);
-        let Some(in_flight) = request.and_then(|request| request.attempt_mut(attempt)) else {
-            return;
-        };
-        let event = Event::ResponseBegan {
-            id,
-            attempt,
-            node: in_flight.node,
-            began_at: now - age,
-        };
-        self.decide(now, event, effects);
+        if let Some(node) = self.node_of(id, attempt) {
+            let event = Event::ResponseBegan {
+                id,
+                attempt,
+                node,
+                began_at: now - age,
+            };
+            self.decide(now, event, effects);
+        }
+    }
+
+    /// Handles a response that is passed on although its server pauses.
+    pub(super) fn response_paused(
+        &mut self,
+        now: Nanos,
+        id: RequestId,
+        attempt: u32,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(node) = self.node_of(id, attempt) {
+            self.decide(now, Event::ResponsePaused { id, attempt, node }, effects);
+        }
+    }
+
+    /// Returns the server of an attempt in flight.
+    fn node_of(&self, id: RequestId, attempt: u32) -> Option<NodeId> {
+        let request = self.requests.get(&id)?;
+        request.attempt(attempt).map(|in_flight| in_flight.node)
     }
 
     /// Returns whether a request would be sent again at once if its attempt in flight ended now
--- a/crates/core/src/request_tracker/messages.rs
+++ b/crates/core/src/request_tracker/messages.rs
@@ -37,6 +37,15 @@
         /// The time since the first byte of the response.
         age: Nanos,
     },
+    /// The response of an attempt is passed on although its server pauses, and may have hung.
+    ResponsePaused {
+        /// The request that the attempt belongs to.
+        id: RequestId,
+        /// The number of the attempt within the request, from 0.
+        attempt: u32,
+    },
+    /// This server did not go on with a response that was passed on during a pause.
+    ResponseStopped(NodeId),
     /// The timeout of an attempt expired, and the transport dropped the attempt.
     AttemptTimedOut {
         /// The request that the attempt belongs to.
--- a/src/exchange/effects.rs
+++ b/src/exchange/effects.rs
@@ -159,7 +159,7 @@
             deadline,
             client_deadline,
             withdrawal: withdrawal.clone(),
-            observer: Rc::new(ExchangeObserver::new(self, key)),
+            observer: Rc::new(ExchangeObserver::new(self, key, node)),
         };
         let attempt = self.transport.attempt(node, payload, context);
         let exchange = Rc::clone(self);
--- a/src/exchange/transport.rs
+++ b/src/exchange/transport.rs
@@ -36,6 +36,12 @@
     /// Records that the response of the attempt began the time `age` ago and is not complete yet.
     fn response_began(&self, age: Duration);
 
+    /// Records that the response is passed on although its server pauses, and may have hung.
+    fn response_paused(&self);
+
+    /// Records that the server of a response that was passed on during a pause did not go on.
+    fn response_stopped(&self);
+
     /// Returns whether the request would be sent again at once if this attempt ended now without a
     /// complete response.
     fn would_retry(&self) -> bool;
--- a/src/frontend/forwarded_body.rs
+++ b/src/frontend/forwarded_body.rs
@@ -12,7 +12,7 @@
 use tokio::time::{sleep_until, Sleep};
 
 use crate::telemetry::trace;
-use crate::upstream::StreamedBody;
+use crate::upstream::{Pause, StreamedBody};
 
 /// Maximum time without a byte of a body from its chunk server. Servers may pause while they write
 /// a long body, but one that has hung must not keep its connection for good.
@@ -62,9 +62,8 @@
     streamed: Option<StreamedBody>,
     /// Ends when the server has been silent for too long; runs only while a frame is awaited.
     silence: Option<Pin<Box<Sleep>>>,
-    /// When the body is given up if its server, which has sent its head or little more, does not go
-    /// on to write.
-    resume_by: Option<Instant>,
+    /// The pause of the server during which streaming started, until it goes on.
+    pause: Option<Pause>,
     started: Instant,
     length: Option<u64>,
     bytes_forwarded: usize,
@@ -72,10 +71,10 @@
 
 impl ForwardedBody {
     /// Creates a body of which nothing has been forwarded yet.
-    pub(super) fn new(streamed: StreamedBody) -> ForwardedBody {
+    pub(super) fn new(mut streamed: StreamedBody) -> ForwardedBody {
         ForwardedBody {
             length: streamed.length,
-            resume_by: streamed.resume_by,
+            pause: streamed.pause.take(),
             streamed: Some(streamed),
             silence: None,
             started: Instant::now(),
@@ -92,18 +91,23 @@
         match streamed.poll_part(cx) {
             Poll::Ready(Some(Ok(data))) => {
                 self.silence = None;
-                self.resume_by = self.resume_by.filter(|_| is_buffered);
+                if !is_buffered {
+                    self.pause = None;
+                }
                 Poll::Ready(Ok(data))
             }
             Poll::Ready(Some(Err(_))) => Poll::Ready(Err(StreamEnd::ServerFailed)),
             Poll::Ready(None) => Poll::Ready(Err(StreamEnd::Complete)),
             Poll::Pending => {
-                let resume_by = self.resume_by;
+                let resume_by = self.pause.as_ref().map(|pause| pause.resume_by);
                 let silence = self.silence.get_or_insert_with(|| {
                     let given_up_at = resume_by.unwrap_or(Instant::now() + SERVER_SILENCE_TIMEOUT);
                     Box::pin(sleep_until(given_up_at.into()))
                 });
                 ready!(silence.as_mut().poll(cx));
+                if let Some(pause) = self.pause.take() {
+                    pause.server_stopped();
+                }
                 Poll::Ready(Err(StreamEnd::ServerSilent))
             }
         }
--- a/src/telemetry/trace/events.rs
+++ b/src/telemetry/trace/events.rs
@@ -52,6 +52,12 @@
         #[serde(rename = "ms")]
         age_ms: f64,
     },
+    /// The response of an attempt is passed on although its server pauses.
+    #[serde(rename = "paused")]
+    ResponsePaused { id: u64, attempt: u32 },
+    /// A chunk server did not go on with a response that was passed on during a pause.
+    #[serde(rename = "stopped")]
+    ResponseStopped { node: String },
     /// An attempt has ended.
     #[serde(rename = "ended")]
     AttemptEnded {
@@ -158,6 +164,11 @@
             attempt: *attempt,
             age_ms: *age as f64 / NANOS_PER_MICROSECOND / MICROS_PER_MILLISECOND,
         },
+        Input::ResponsePaused { id, attempt } => TraceEvent::ResponsePaused {
+            id: id.0,
+            attempt: *attempt,
+        },
+        Input::ResponseStopped(node) => TraceEvent::ResponseStopped { node: name(*node) },
         Input::AttemptTimedOut { id, attempt } => attempt_without_use(*id, *attempt, "time_up"),
         Input::AttemptCancelled { id, attempt } => attempt_without_use(*id, *attempt, "stopped"),
         Input::Endpoints { scope, nodes } => TraceEvent::Endpoints {
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -24,7 +24,7 @@
 use self::connections::Connections;
 use crate::exchange::{AttemptContext, AttemptReport, Transport};
 
-pub use self::payload::{AcceptedResponses, Answer, Payload, StreamedBody};
+pub use self::payload::{AcceptedResponses, Answer, Pause, Payload, StreamedBody};
 pub use self::response_memory::ResponseMemory;
 
 /// The transport to the chunk servers, with their addresses and the connections to them.
--- a/src/upstream/payload.rs
+++ b/src/upstream/payload.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 use std::time::Instant;
@@ -14,6 +15,7 @@
 
 use super::response_memory::MIN_UNCOPIED_BYTES;
 use crate::body_budget::BodyReservation;
+use crate::exchange::AttemptObserver;
 use crate::memory_budget::Reservation;
 use crate::telemetry::metrics::ClassMetrics;
 
@@ -63,6 +65,21 @@
     pub streamed: Option<StreamedBody>,
 }
 
+/// A pause of a chunk server that may have hung.
+pub struct Pause {
+    /// When the body is given up if the server has not gone on.
+    pub resume_by: Instant,
+    /// The connection to the decision module.
+    pub(super) observer: Rc<dyn AttemptObserver>,
+}
+
+impl Pause {
+    /// Records that the server has not gone on.
+    pub fn server_stopped(self) {
+        self.observer.response_stopped();
+    }
+}
+
 /// A long body that is still arriving, with its connection. It is read only as fast as the client
 /// reads, so that only a few parts of it are buffered. Dropping it closes the connection.
 pub struct StreamedBody {
@@ -72,9 +89,8 @@
     body: Incoming,
     /// The length of the whole body in bytes, where the server announced it.
     pub length: Option<u64>,
-    /// When the body is given up if no part follows those that were read before; absent where the
-    /// server has not lagged.
-    pub resume_by: Option<Instant>,
+    /// The pause of the server during which streaming started, if there is one.
+    pub pause: Option<Pause>,
     /// Returns the connection to the pool when called; dropping it closes the connection.
     release_connection: Option<Box<dyn FnOnce()>>,
     /// The memory of the parts of the body that are on their way.
@@ -88,7 +104,7 @@
         beginning: [Bytes; 2],
         body: Incoming,
         length: Option<u64>,
-        resume_by: Option<Instant>,
+        pause: Option<Pause>,
         memory: Reservation,
     ) -> StreamedBody {
         let beginning = beginning.into_iter().filter(|part| !part.is_empty());
@@ -96,7 +112,7 @@
             beginning: beginning.collect(),
             body,
             length,
-            resume_by,
+            pause,
             release_connection: None,
             _memory: memory,
         }
--- a/src/upstream/response.rs
+++ b/src/upstream/response.rs
@@ -109,7 +109,7 @@
     ) -> Result<Answer, Execution> {
         let length = body.size_hint().exact();
         let mut prefix = BodyPrefix::new(&body);
-        let mut resume_by = None;
+        let mut pause = None;
         if length.is_none() {
             let partial = PartialResponse::MayBeForwarded;
             match prefix.fill(&mut body, self.limits, partial).await? {
@@ -118,12 +118,12 @@
                     return Ok(answer_with(head, self.shard, bytes, None));
                 }
                 PrefixEnd::Full => {}
-                PrefixEnd::Paused => resume_by = Some(self.limits.resume_by()),
+                PrefixEnd::Paused => pause = Some(self.limits.pause()),
             }
         }
         let beginning = [memory.attach(prefix.bytes.freeze()), prefix.next];
         let memory = memory.split(STREAM_BYTES);
-        let streamed = StreamedBody::new(beginning, body, length, resume_by, memory);
+        let streamed = StreamedBody::new(beginning, body, length, pause, memory);
         Ok(answer_with(head, self.shard, Bytes::new(), Some(streamed)))
     }
 }
--- a/src/upstream/response_limits.rs
+++ b/src/upstream/response_limits.rs
@@ -1,13 +1,14 @@
 //! Waits until a response whose chunk server pauses has to be given up or passed on.
 
 use std::cell::Cell;
-use std::time::{Duration, Instant};
+use std::rc::Rc;
+use std::time::Duration;
 
 use serde::Serialize;
 use tulipbridge_core::response_progress::SLOW_AFTER;
 use tulipbridge_core::Nanos;
 
-use super::payload::Payload;
+use super::payload::{Pause, Payload};
 use super::wire_state::WireState;
 use crate::exchange::AttemptContext;
 use crate::telemetry::metrics::SlowResponseDecision;
@@ -131,10 +132,13 @@
         self.wire.now() >= self.wire.progress().slow_at()
     }
 
-    /// Returns until when the server of a response that is passed on during a pause has to go on
-    /// writing.
-    pub fn resume_by(&self) -> Instant {
-        self.wire.instant(self.wire.progress().resume_by())
+    /// Returns what becomes of a response that is passed on while its server pauses.
+    pub fn pause(&self) -> Pause {
+        self.context.observer.response_paused();
+        Pause {
+            resume_by: self.wire.instant(self.wire.progress().resume_by()),
+            observer: Rc::clone(&self.context.observer),
+        }
     }
 
     /// Counts and traces a decision about the response.
--- a/tests/fronts/server_responses.rs
+++ b/tests/fronts/server_responses.rs
@@ -196,4 +196,20 @@
         send console GET /status/metrics app_cluster_unhealthy
         more s0 late
         expect c1";
+
+    // Guards against a server that hangs behind its heads and counts as one that answers at once.
+    server_that_hangs_behind_its_heads_is_suspected: Platform, 1, "
+        send c1 ${write} X-Remaining:300m | form
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\n\\r\\n
+        send c2 ${write} X-Remaining:300m | form
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\n\\r\\n
+        send c3 ${write} X-Remaining:300m | form
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\n\\r\\n
+        expect c1
+        expect c2
+        expect c3
+        await app_cluster_unhealthy 1";
 }
--- a/tests/golden/trace_events.rs
+++ b/tests/golden/trace_events.rs
@@ -111,7 +111,15 @@
 /// Writes the events that a short scenario does not cause, as the program would.
 fn write_trace() {
     let name = |node| format!("s-{node}");
+    let pauses = [
+        Input::ResponsePaused {
+            id: REQUEST,
+            attempt: 1,
+        },
+        Input::ResponseStopped(NODE),
+    ];
     for input in attempt_ends()
+        .chain(pauses)
         .chain(endpoint_updates())
         .chain(limit_updates())
         .chain(ejections())
--- a/tests/unit/upstream.rs
+++ b/tests/unit/upstream.rs
@@ -41,6 +41,10 @@
 impl AttemptObserver for OnlyAttempt {
     fn response_began(&self, _age: Duration) {}
 
+    fn response_paused(&self) {}
+
+    fn response_stopped(&self) {}
+
     fn would_retry(&self) -> bool {
         false
     }
