Postmortem of the pauses within answers; bytes extend a pause only at their rate

The last change of a limit: what a server wrote faster than 64 kB/s was added to the pause that its response may make, so that one that hangs after 20 kB of 40 left no time for another attempt (0.75 s: 503 where it was retried before). Now it extends the limit only until the rate is not kept, as before the incident.

--- a/crates/core/src/response_progress.rs
+++ b/crates/core/src/response_progress.rs
@@ -77,13 +77,13 @@
 
     /// Returns when the response counts as stalled, unless more bytes are read before: once its
     /// server has paused for three quarters of the time that was left to the attempt at its first
-    /// byte, so that a quarter is left for another attempt. A server that has written fast may pause longer,
-    /// until it has been slower than the lowest rate for that time.
+    /// byte, so that a quarter is left for another attempt. A server that has written fast may pause
+    /// longer, until it is slower than the lowest rate.
     pub fn stalls_at(&self) -> Nanos {
         let time_left = self.deadlines.attempt - self.started_at;
         let pause = (time_left * 3 / 4).clamp(PAUSE_MIN, PAUSE_MAX);
         let paused_at = self.last_read_at.saturating_add(pause);
-        let lags_at = self.started_at.saturating_add(pause + self.transfer_time());
+        let lags_at = self.slow_at().saturating_add(self.transfer_time());
         paused_at.max(lags_at)
     }
 
