Test when a stalled response is replaced, and how its server is judged

Tests of the decision module alone for what the scenarios check with a process: a stalled response is given up only if its request would be sent again, a server whose response has begun is not silent, and one that stops in three responses that were passed on is suspect.

--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -49,6 +49,42 @@
     assert!(sent_after_recovery > 0);
 }
 
+/// Guards against a server that is suspected because it writes its responses slowly.
+#[test]
+fn server_whose_response_has_begun_is_not_silent() {
+    let mut front = TestFront::new(settings(), 1);
+    front.warm(0, 30, 0, 20 * MS);
+    front.submit(request(50, 0, Some(0)));
+    let began_at = front.now + 20 * MS;
+    front.advance(120 * MS);
+    front.event(Event::ResponseBegan {
+        id: RequestId(50),
+        attempt: 0,
+        node: NodeId(0),
+        began_at,
+    });
+    front.advance(600 * MS);
+    assert_eq!(front.scheduler.node_counts().avoided, 0);
+}
+
+/// Guards against a server that hangs behind its heads and counts as one that answers at once.
+#[test]
+fn server_that_stops_in_three_responses_is_suspected() {
+    let mut front = TestFront::new(settings(), 1);
+    front.warm(0, 30, 0, 20 * MS);
+    for id in 50..53 {
+        front.submit(request(id, 2, Some(0)));
+        front.event(Event::ResponsePaused {
+            id: RequestId(id),
+            attempt: 0,
+            node: NodeId(0),
+        });
+        front.event(ended(id, 0, 0, Outcome::Served, 10 * MS, true));
+        front.event(Event::ResponseStopped(NodeId(0)));
+    }
+    assert_eq!(front.scheduler.node_counts().avoided, 1);
+}
+
 #[test]
 fn a_server_that_was_silent_stays_warm() {
     // A server that answers again after seconds of silence keeps its warm-up, unless the endpoint
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -18,6 +18,32 @@
     assert_eq!(sent, vec![(2, 1)]);
 }
 
+/// Guards against a sound response that is given up for a retry which is then not sent.
+#[test]
+fn stalled_response_is_replaced_only_if_its_request_would_be_sent_again() {
+    let idempotent_class = 0;
+    let at_most_once_class = 2;
+    for (class, max_attempts, expected) in [
+        (idempotent_class, 3, true),
+        (idempotent_class, 1, false),
+        (at_most_once_class, 3, false),
+    ] {
+        let mut settings = settings();
+        settings.max_attempts = max_attempts;
+        let mut front = TestFront::new(settings, 1);
+        front.warm(0, 20, 0, 10 * MS);
+        front.submit(request(50, class, Some(0)));
+        let sent_at = front.now;
+        let would_retry = |now| {
+            front
+                .scheduler
+                .would_retry(now, RequestId(50), NodeId(0), sent_at)
+        };
+        assert_eq!(would_retry(sent_at + 50 * MS), expected, "class {class}");
+        assert!(!would_retry(sent_at + S), "no time is left");
+    }
+}
+
 #[test]
 fn retries_keep_to_their_budget() {
     let mut front = TestFront::new(settings(), 1);
