Read what arrived while the front was held up before its server is silent

Found on reading the change of this incident again, before any caller saw it: where the front is stopped, or its client does not read, while a server that paused goes on, the time by which the server has to go on is over when the front continues, and the answer was cut off although its bytes were there. The limit of 8 s had the same fault, for a stop of 8 s.

Change: when the limit is over, the front looks once more for 20 ms, in which the connection is read.

--- a/src/frontend/forwarded_body.rs
+++ b/src/frontend/forwarded_body.rs
@@ -18,6 +18,10 @@
 /// a long body, but one that has hung must not keep its connection for good.
 const SERVER_SILENCE_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Time in which what has arrived while this process was held up is read before its server counts
+/// as silent.
+const LAST_LOOK: Duration = Duration::from_millis(20);
+
 /// Milliseconds per second, for the times in the trace.
 const MILLISECONDS_PER_SECOND: f64 = 1e3;
 
@@ -64,6 +68,8 @@
     silence: Option<Pin<Box<Sleep>>>,
     /// The pause of the server during which streaming started, until it goes on.
     pause: Option<Pause>,
+    /// Whether the silence has lasted too long but for [`LAST_LOOK`].
+    has_looked_again: bool,
     started: Instant,
     length: Option<u64>,
     bytes_forwarded: usize,
@@ -77,6 +83,7 @@
             pause: streamed.pause.take(),
             streamed: Some(streamed),
             silence: None,
+            has_looked_again: false,
             started: Instant::now(),
             bytes_forwarded: 0,
         }
@@ -91,6 +98,7 @@
         match streamed.poll_part(cx) {
             Poll::Ready(Some(Ok(data))) => {
                 self.silence = None;
+                self.has_looked_again = false;
                 if !is_buffered {
                     self.pause = None;
                 }
@@ -99,12 +107,7 @@
             Poll::Ready(Some(Err(_))) => Poll::Ready(Err(StreamEnd::ServerFailed)),
             Poll::Ready(None) => Poll::Ready(Err(StreamEnd::Complete)),
             Poll::Pending => {
-                let resume_by = self.pause.as_ref().map(|pause| pause.resume_by);
-                let silence = self.silence.get_or_insert_with(|| {
-                    let given_up_at = resume_by.unwrap_or(Instant::now() + SERVER_SILENCE_TIMEOUT);
-                    Box::pin(sleep_until(given_up_at.into()))
-                });
-                ready!(silence.as_mut().poll(cx));
+                ready!(self.poll_silence(cx));
                 if let Some(pause) = self.pause.take() {
                     pause.server_stopped();
                 }
@@ -113,6 +116,22 @@
         }
     }
 
+    /// Waits until the server, of which a part is awaited, has been silent for too long.
+    fn poll_silence(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let resume_by = self.pause.as_ref().map(|pause| pause.resume_by);
+        let silence = self.silence.get_or_insert_with(|| {
+            let given_up_at = resume_by.unwrap_or(Instant::now() + SERVER_SILENCE_TIMEOUT);
+            Box::pin(sleep_until(given_up_at.into()))
+        });
+        ready!(silence.as_mut().poll(cx));
+        if !std::mem::replace(&mut self.has_looked_again, true) {
+            let last_look_until = Instant::now() + LAST_LOOK;
+            silence.as_mut().reset(last_look_until.into());
+            ready!(silence.as_mut().poll(cx));
+        }
+        Poll::Ready(())
+    }
+
     /// Ends the body where the chunk server has sent all of it, since a body whose length is known is
     /// not read beyond that.
     fn end_if_complete(&mut self) {
--- a/tests/races/stalls.rs
+++ b/tests/races/stalls.rs
@@ -18,6 +18,21 @@
         expect s0 told-at-most 850
         send s0 200 | in time";
 
+    // Guards against a sound answer that is cut off since its server went on while the front was
+    // stopped.
+    response_that_goes_on_during_a_stall_is_passed_on: Platform, 1, "
+        send c1 ${write} X-Remaining:300m | form
+        expect s0
+        send s0 raw HTTP/1.1 200 OK\\r\\n\\r\\n
+        wait 400
+        signal STOP
+        more s0 *100000
+        wait 900
+        signal CONT
+        wait 100
+        end s0
+        expect c1";
+
     log_that_nobody_reads_delays_no_request: Platform, 1, "
         expect d
         send c1 GET /api
